--- /dev/null
+++ b/answer.go
@@ -0,0 +1,87 @@
+package almondstep
+
+import "time"
+
+// Outcome is how a request ended. There is no other.
+type Outcome string
+
+const (
+	// OutcomeComplete is an answer that covers every shard.
+	OutcomeComplete Outcome = "complete"
+	// OutcomePartial is an answer whose coverage names what is missing.
+	OutcomePartial Outcome = "partial"
+	// OutcomeNotRun is a refusal; nothing has begun anywhere.
+	OutcomeNotRun Outcome = "notRun"
+	// OutcomeUnknown says that the request may have run.
+	OutcomeUnknown Outcome = "outcomeUnknown"
+)
+
+// Answer is what a caller gets.
+type Answer struct {
+	Query   QueryID `json:"-"`
+	Outcome Outcome `json:"outcome"`
+	// Code says why, for programs; empty if complete.
+	Code RefusalCode `json:"code,omitempty"`
+	// Message says why, for people.
+	Message  string   `json:"message,omitempty"`
+	Coverage Coverage `json:"coverage"`
+	// Total is the number of matching records in the covered shards.
+	Total int `json:"total"`
+	// Records are the first ones in key order, at most the asked limit.
+	Records []Record      `json:"records"`
+	Took    time.Duration `json:"tookNanos"`
+	// Attempts is the number of sub-requests sent.
+	Attempts int `json:"attempts"`
+	// Needed is the number of sub-requests needed without hedges and retries.
+	Needed int `json:"needed"`
+}
+
+// RefusalCode says why a request was refused or is not complete.
+type RefusalCode string
+
+// Refusal codes.
+const (
+	CodeNoConfiguration RefusalCode = "noConfiguration"
+	CodeUnknownName     RefusalCode = "unknownName"
+	CodeAmbiguousName   RefusalCode = "ambiguousName"
+	CodeUnknownTenant   RefusalCode = "unknownTenant"
+	CodeUnknownClass    RefusalCode = "unknownClass"
+	CodeUnknownOp       RefusalCode = "unknownOperation"
+	CodeOverload        RefusalCode = "overload"
+	CodeDeadline        RefusalCode = "deadline"
+	CodeQuarantined     RefusalCode = "quarantined"
+	CodeNoReplica       RefusalCode = "noReplica"
+	CodeKeyInvalid      RefusalCode = "keyInvalid"
+	CodeKeyExpired      RefusalCode = "keyExpired"
+	CodeKeyTaken        RefusalCode = "keyTaken"
+	CodeNoPlatform      RefusalCode = "noPlatform"
+	CodeStopping        RefusalCode = "stopping"
+	CodeShed            RefusalCode = "shed"
+	CodeFailed          RefusalCode = "failed"
+	CodeMissingShards   RefusalCode = "missingShards"
+)
+
+// Coverage says which shards an answer includes. It never claims more than was
+// merged.
+type Coverage struct {
+	// Version is the one snapshot the answer is from; 0 if nothing was merged.
+	Version  Version `json:"version"`
+	Complete bool    `json:"complete"`
+	// Included is the number of shards merged.
+	Included int `json:"included"`
+	// Wanted is the number of shards the search covers.
+	Wanted int `json:"wanted"`
+	// Missing lists the shards that are not merged.
+	Missing []MissingShard `json:"missing,omitempty"`
+}
+
+// MissingShard is a shard that an answer doesn't include, and why.
+type MissingShard struct {
+	Service ServiceName `json:"service"`
+	Shard   uint32      `json:"shard"`
+	Of      uint32      `json:"of"`
+	// From and To bound the missing key hashes; To is not included.
+	From   uint64 `json:"from"`
+	To     uint64 `json:"to"`
+	Reason Reason `json:"reason"`
+}
--- /dev/null
+++ b/outside.go
@@ -0,0 +1,92 @@
+package almondstep
+
+import (
+	"context"
+	"time"
+)
+
+// Entry is a value in the platform's key-value service.
+type Entry struct {
+	// Revision rises with each write of the key; 0 means the key is absent.
+	Revision uint64
+	Value    []byte
+}
+
+// Platform is the platform's key-value service and its list of VMs. Every call
+// returns ErrUnavailable if no answer came; a write may then have taken effect.
+type Platform interface {
+	// Get reads a key. An absent key has revision 0 and no error.
+	Get(ctx context.Context, key string) (Entry, error)
+	// CompareAndSwap writes a key whose revision is still base, 0 for an absent
+	// key, and returns the new revision. Otherwise it returns ErrConflict.
+	CompareAndSwap(ctx context.Context, key string, base uint64, value []byte) (uint64, error)
+	// Watch waits until the key's revision is above after, at most wait, and
+	// returns what is there then, changed or not.
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error)
+	// Lease takes or renews a lease for ttl. It returns ErrConflict if another
+	// holder has it.
+	Lease(ctx context.Context, key, holder string, ttl time.Duration) error
+	// Fleet reads the list of VMs, waiting like Watch.
+	Fleet(ctx context.Context, after Revision, wait time.Duration) (Fleet, error)
+}
+
+// UpstreamClient sends one request to an upstream and says how it ended. It
+// never sends a request twice.
+type UpstreamClient interface {
+	Do(ctx context.Context, a *StartAttempt) *AttemptEnded
+}
+
+// PeerClient sends messages to other daemons.
+type PeerClient interface {
+	// Work returns ErrNotRun if it is certain that nothing began, and
+	// ErrUnavailable if no answer came.
+	Work(ctx context.Context, to Address, from DaemonID, w *Work) (*WorkAnswered, error)
+	// Collect waits for the pending rest of a Work.
+	Collect(ctx context.Context, to Address, c *CollectArrived) (*WorkAnswered, error)
+	// Cancel tells an owner that nothing more is wanted.
+	Cancel(ctx context.Context, to Address, c *CancelArrived) error
+	// Probe asks a peer whether it lives, or for an indirect probe of target.
+	Probe(ctx context.Context, to Address, target DaemonID, d *Digest) (*Digest, bool, error)
+	// Pull asks for a document newer than have; the patch is nil if there is none.
+	Pull(ctx context.Context, to Address, from DaemonID, have DocumentState) (*Patch, error)
+	// Claim asks the key's home daemon for the one run of a request.
+	Claim(ctx context.Context, to Address, c *ClaimKey) (ClaimOutcome, error)
+}
+
+// PeerServer answers other daemons' messages. Its methods wait until the
+// control or traffic thread has answered.
+type PeerServer interface {
+	Work(ctx context.Context, from DaemonID, w *Work) (*WorkAnswered, error)
+	Collect(ctx context.Context, c *CollectArrived) (*WorkAnswered, error)
+	Cancel(ctx context.Context, c *CancelArrived) error
+	Probe(ctx context.Context, target DaemonID, d *Digest) (*Digest, bool, error)
+	Pull(ctx context.Context, from DaemonID, have DocumentState) (*Patch, error)
+	Claim(ctx context.Context, c *ClaimKey) (ClaimOutcome, error)
+}
+
+// Claimer gets the one run of a request that must not run twice.
+type Claimer interface {
+	Claim(ctx context.Context, c *ClaimKey) ClaimOutcome
+}
+
+// Recorder counts what happens, for operators.
+type Recorder interface {
+	// Answered counts a query's outcome, time and coverage.
+	Answered(t TenantName, c ClassName, a *Answer)
+	// Attempted counts a call to an upstream.
+	Attempted(s ServiceName, r CallResult, took time.Duration)
+	// ControlSent counts bytes of control messages.
+	ControlSent(kind string, bytes int)
+	// PlatformCalled counts calls to the platform.
+	PlatformCalled(kind string, err error)
+	// Viewed notes the newest view.
+	Viewed(v *View)
+}
+
+// Frontend takes callers' requests. Its methods wait for the answer.
+type Frontend interface {
+	Search(ctx context.Context, e *SearchArrived) *Answer
+	Run(ctx context.Context, e *RunArrived) *Answer
+	// View is the newest view.
+	View() *View
+}
--- /dev/null
+++ b/shard.go
@@ -0,0 +1,52 @@
+package almondstep
+
+import "fmt"
+
+// keySpace is the number of hash values over which records are spread.
+const keySpace = uint64(1) << 32
+
+// Shard is one part of a service's records under a partitioning. The
+// partitioning is the number of equal parts of the key space, so that
+// shard 1 of 4 covers the second quarter, whatever service it is of.
+type Shard struct {
+	service ServiceName
+	index   uint32
+	of      uint32
+}
+
+// NewShard gives shard index (from 0) of a partitioning into of parts.
+func NewShard(service ServiceName, index, of uint32) Shard {
+	return Shard{service: service, index: index, of: of}
+}
+
+// Service is the service whose records the shard holds.
+func (s Shard) Service() ServiceName { return s.service }
+
+// Index is the shard's place in its partitioning, from 0.
+func (s Shard) Index() uint32 { return s.index }
+
+// Of is the number of shards in the partitioning.
+func (s Shard) Of() uint32 { return s.of }
+
+// Range gives the key hashes the shard covers, from the first included to the
+// first not included.
+func (s Shard) Range() (from, to uint64) {
+	if s.of == 0 {
+		return 0, 0
+	}
+	n := uint64(s.of)
+	return keySpace * uint64(s.index) / n, keySpace * uint64(s.index+1) / n
+}
+
+// String writes the shard as service/index/of.
+func (s Shard) String() string {
+	return fmt.Sprintf("%s/%d/%d", s.service, s.index, s.of)
+}
+
+// Record is one lot or trial record that matches a search.
+type Record struct {
+	// Key orders the merged records.
+	Key string `json:"key"`
+	// Body is the record's text.
+	Body string `json:"body"`
+}
