Show an item's shard in event logs, and each record's item in answers

Cause: Item.Shard was left out of JSON, so an event log could not be replayed. And a WorkAnswered that comes late, after a hedge has answered one of its shards, mixed that shard's records with new ones; merging it would double them.

WorkAnswered.Sources names the item of each record. It is optional: an owner that doesn't fill it costs only the mixed answers, which are then dropped whole.

Nothing fills or reads Sources yet.

--- a/message_query.go
+++ b/message_query.go
@@ -44,7 +44,7 @@
 
 // Item is one shard's part of a message to an owner.
 type Item struct {
-	Shard    Shard   `json:"-"`
+	Shard    Shard   `json:"shard"`
 	Upstream Address `json:"upstream"`
 }
 
@@ -133,6 +133,10 @@
 	Items   []ItemAnswer `json:"items"`
 	// Records are the first Limit of the done items, in key order.
 	Records []Record `json:"records"`
+	// Sources says for each record which of Items it is from, so that the entry
+	// daemon can leave out those of a shard that a hedge has already answered.
+	// Without it, such an answer is dropped as a whole.
+	Sources []uint32 `json:"sources,omitempty"`
 }
 
 // WorkFailed says that a Work or Collect got no answer. NotRun says that it is
