Runner, messenger, reducer and server: the frame of the whole path

Cause: the partitions need something that drives them and carries their messages. Measured: builds and lints; the partitions are not wired yet. Conclusion: effects carry all that waits, so no decision blocks a thread.

--- a/errors.go
+++ b/errors.go
@@ -10,6 +10,8 @@
 	ErrUnavailable = errors.New("no answer")
 	// ErrNotRun says that the other side refused before it began.
 	ErrNotRun = errors.New("not run")
+	// ErrRefused says that the other side answered, with a refusal.
+	ErrRefused = errors.New("refused")
 	// ErrNotFound says that the name or key doesn't exist.
 	ErrNotFound = errors.New("not found")
 	// ErrAmbiguousName says that a name without a scheme means several services.
--- /dev/null
+++ b/messenger/client.go
@@ -0,0 +1,202 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"almondstep"
+	"almondstep/messenger/peerpb"
+)
+
+const (
+	// dialTimeout bounds a connection to a daemon of another region.
+	dialTimeout = time.Second
+	// pingAfter is how long a connection may bring nothing before it is pinged.
+	pingAfter = 500 * time.Millisecond
+	// pingTimeout is how long a ping may take before the connection is closed;
+	// it is how a connection that went silent for good is found.
+	pingTimeout = 500 * time.Millisecond
+	// idleTimeout closes connections to daemons nobody talks to.
+	idleTimeout = 2 * time.Minute
+)
+
+// Client sends messages to other daemons. It holds one HTTP/2 connection per
+// daemon, over which calls don't wait for each other.
+type Client struct {
+	// TLS is the certificate and the authorities; nil talks in the clear.
+	TLS *tls.Config
+	// Sent, if set, is told the encoded size of each control message.
+	Sent func(kind string, bytes int)
+
+	mu    sync.Mutex
+	http  *http.Client
+	peers map[almondstep.Address]peerpb.Peer
+}
+
+var _ almondstep.PeerClient = (*Client)(nil)
+
+// transport makes the one transport of the client. Without TLS it speaks
+// HTTP/2 from the first byte, since both ends are ours.
+func (c *Client) transport() *http.Transport {
+	protocols := new(http.Protocols)
+	if c.TLS == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	return &http.Transport{
+		Protocols:       protocols,
+		TLSClientConfig: c.TLS,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+}
+
+func (c *Client) peer(to almondstep.Address) peerpb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.http == nil {
+		c.http = &http.Client{Transport: c.transport()}
+		c.peers = make(map[almondstep.Address]peerpb.Peer)
+	}
+	p, ok := c.peers[to]
+	if !ok {
+		scheme := "http://"
+		if c.TLS != nil {
+			scheme = "https://"
+		}
+		p = peerpb.NewPeerProtobufClient(scheme+string(to), c.http)
+		c.peers[to] = p
+	}
+	return p
+}
+
+// Forget drops what is kept for a daemon that is gone for good.
+func (c *Client) Forget(to almondstep.Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.peers, to)
+}
+
+// Work sends a Work to an owner. The error is ErrNotRun only if the connection
+// was refused or the owner said so itself.
+func (c *Client) Work(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, w *almondstep.Work) (*almondstep.WorkAnswered, error) {
+	r, err := c.peer(to).Deliver(ctx, encodeWork(from, w))
+	if err != nil {
+		return nil, classify(err)
+	}
+	return decodeWorkReply(r), nil
+}
+
+// Collect waits for the pending rest of a Work.
+func (c *Client) Collect(ctx context.Context, to almondstep.Address, e *almondstep.CollectArrived) (*almondstep.WorkAnswered, error) {
+	r, err := c.peer(to).Collect(ctx, &peerpb.CollectRequest{
+		Query:     uint64(e.ID),
+		Attempt:   uint32(e.Attempt),
+		Remaining: int64(e.Remaining),
+	})
+	if err != nil {
+		return nil, classify(err)
+	}
+	return decodeWorkReply(r), nil
+}
+
+// Cancel tells an owner that nothing more is wanted.
+func (c *Client) Cancel(ctx context.Context, to almondstep.Address, e *almondstep.CancelArrived) error {
+	_, err := c.peer(to).Cancel(ctx, &peerpb.CancelRequest{
+		Query:   uint64(e.ID),
+		Attempt: uint32(e.Attempt),
+		Items:   groupItems(e.Items),
+	})
+	return classify(err)
+}
+
+// Probe exchanges digests with a daemon; with a target the daemon probes it too.
+func (c *Client) Probe(ctx context.Context, to almondstep.Address, target almondstep.DaemonID, d *almondstep.Digest) (*almondstep.Digest, bool, error) {
+	req := &peerpb.ProbeRequest{Digest: encodeDigest(d), Target: string(target)}
+	c.count("probe", req)
+	r, err := c.peer(to).Probe(ctx, req)
+	if err != nil {
+		return nil, false, classify(err)
+	}
+	return decodeDigest(r.GetDigest()), r.GetOk(), nil
+}
+
+// Pull asks for a document newer than have; nil if there is none.
+func (c *Client) Pull(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, have almondstep.DocumentState) (*almondstep.Patch, error) {
+	req := &peerpb.PullRequest{From: string(from), Have: encodeState(have)}
+	c.count("pull", req)
+	r, err := c.peer(to).Pull(ctx, req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	if !r.GetFound() {
+		return nil, nil
+	}
+	return &almondstep.Patch{
+		Name:     almondstep.DocumentName(r.GetName()),
+		FromHash: almondstep.Hash(r.GetFromHash()),
+		Revision: almondstep.Revision(r.GetRevision()),
+		Hash:     almondstep.Hash(r.GetHash()),
+		Body:     r.GetBody(),
+	}, nil
+}
+
+// Claim asks the key's home daemon for the one run of a request.
+func (c *Client) Claim(ctx context.Context, to almondstep.Address, e *almondstep.ClaimKey) (almondstep.ClaimOutcome, error) {
+	r, err := c.peer(to).Claim(ctx, &peerpb.ClaimRequest{
+		Query:       uint64(e.ID),
+		Key:         e.Key,
+		Fingerprint: uint64(e.Fingerprint),
+		Remaining:   int64(e.Remaining),
+	})
+	if err != nil {
+		return almondstep.ClaimUnavailable, classify(err)
+	}
+	return almondstep.ClaimOutcome(r.GetOutcome()), nil
+}
+
+// Status asks what a daemon says of itself.
+func (c *Client) Status(ctx context.Context, to almondstep.Address) (*almondstep.DaemonStatus, error) {
+	r, err := c.peer(to).Status(ctx, &peerpb.Empty{})
+	if err != nil {
+		return nil, classify(err)
+	}
+	return decodeStatus(r), nil
+}
+
+func (c *Client) count(kind string, m proto.Message) {
+	if c.Sent != nil {
+		c.Sent(kind, proto.Size(m))
+	}
+}
+
+// classify says whether a failed call can have had an effect. A refused dial
+// and the owner's own refusal can't; everything else may.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var te twirp.Error
+	if errors.As(err, &te) && te.Code() == twirp.FailedPrecondition {
+		refused := errors.Newf("refused by the daemon: %s", te.Msg())
+		return errors.Mark(errors.Mark(refused, almondstep.ErrNotRun), almondstep.ErrRefused)
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(err, almondstep.ErrNotRun)
+	}
+	return errors.Mark(err, almondstep.ErrUnavailable)
+}
--- /dev/null
+++ b/messenger/server.go
@@ -0,0 +1,181 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"almondstep"
+	"almondstep/messenger/peerpb"
+)
+
+const (
+	// maxStreams bounds the calls one daemon has open at another at a time.
+	maxStreams = 10_000
+	// headerTimeout bounds how long a connection may take to say what it wants.
+	headerTimeout = 5 * time.Second
+	// maxMessageBytes bounds one message: a full configuration text of 1 MB and room.
+	maxMessageBytes = 2 << 20
+)
+
+// Server answers the messages of other daemons through a PeerServer.
+type Server struct {
+	// Peer does the work.
+	Peer almondstep.PeerServer
+	// TLS is the certificate and the authorities; nil talks in the clear.
+	TLS *tls.Config
+	// Sent, if set, is told the encoded size of each control message.
+	Sent func(kind string, bytes int)
+
+	server *http.Server
+}
+
+// Serve answers on l until Shutdown; it returns nil after one.
+func (s *Server) Serve(l net.Listener) error {
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
+	}
+	err := s.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Init prepares the server; call it once before Serve and Shutdown.
+func (s *Server) Init() {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.server = &http.Server{
+		Handler:           http.MaxBytesHandler(peerpb.NewPeerServer(&handler{peer: s.Peer, sent: s.Sent}), maxMessageBytes),
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      pingAfter,
+			PingTimeout:          pingTimeout,
+		},
+	}
+}
+
+// Shutdown refuses new connections and waits for the calls under way.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.server.Shutdown(ctx)
+}
+
+// Close cuts all connections, as a crash would.
+func (s *Server) Close() error {
+	return s.server.Close()
+}
+
+// handler is the generated interface over a PeerServer.
+type handler struct {
+	peer almondstep.PeerServer
+	sent func(kind string, bytes int)
+}
+
+func (h *handler) Deliver(ctx context.Context, r *peerpb.WorkRequest) (*peerpb.WorkReply, error) {
+	a, err := h.peer.Work(ctx, almondstep.DaemonID(r.GetFrom()), decodeWork(r))
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return encodeWorkReply(a), nil
+}
+
+func (h *handler) Collect(ctx context.Context, r *peerpb.CollectRequest) (*peerpb.WorkReply, error) {
+	a, err := h.peer.Collect(ctx, &almondstep.CollectArrived{
+		ID:        almondstep.QueryID(r.GetQuery()),
+		Attempt:   almondstep.AttemptID(r.GetAttempt()),
+		Remaining: time.Duration(r.GetRemaining()),
+	})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return encodeWorkReply(a), nil
+}
+
+func (h *handler) Cancel(ctx context.Context, r *peerpb.CancelRequest) (*peerpb.Empty, error) {
+	err := h.peer.Cancel(ctx, &almondstep.CancelArrived{
+		ID:      almondstep.QueryID(r.GetQuery()),
+		Attempt: almondstep.AttemptID(r.GetAttempt()),
+		Items:   ungroupItems(r.GetItems()),
+	})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return &peerpb.Empty{}, nil
+}
+
+func (h *handler) Probe(ctx context.Context, r *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	d, ok, err := h.peer.Probe(ctx, almondstep.DaemonID(r.GetTarget()), decodeDigest(r.GetDigest()))
+	if err != nil {
+		return nil, refuse(err)
+	}
+	out := &peerpb.ProbeReply{Digest: encodeDigest(d), Ok: ok}
+	h.count("probeReply", out)
+	return out, nil
+}
+
+func (h *handler) Pull(ctx context.Context, r *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	p, err := h.peer.Pull(ctx, almondstep.DaemonID(r.GetFrom()), decodeState(r.GetHave()))
+	if err != nil {
+		return nil, refuse(err)
+	}
+	if p == nil {
+		return &peerpb.PullReply{}, nil
+	}
+	out := &peerpb.PullReply{
+		Found:    true,
+		Name:     string(p.Name),
+		FromHash: string(p.FromHash),
+		Revision: uint64(p.Revision),
+		Hash:     string(p.Hash),
+		Body:     p.Body,
+	}
+	h.count("pullReply", out)
+	return out, nil
+}
+
+func (h *handler) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	outcome, err := h.peer.Claim(ctx, &almondstep.ClaimKey{
+		ID:          almondstep.QueryID(r.GetQuery()),
+		Key:         r.GetKey(),
+		Fingerprint: almondstep.Fingerprint(r.GetFingerprint()),
+		Remaining:   time.Duration(r.GetRemaining()),
+	})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return &peerpb.ClaimReply{Outcome: uint32(outcome)}, nil
+}
+
+func (h *handler) Status(ctx context.Context, _ *peerpb.Empty) (*peerpb.StatusReply, error) {
+	s, err := h.peer.Status(ctx)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return encodeStatus(s), nil
+}
+
+func (h *handler) count(kind string, m proto.Message) {
+	if h.sent != nil {
+		h.sent(kind, proto.Size(m))
+	}
+}
+
+// refuse puts ErrNotRun into a code of its own, so that the asking daemon may
+// take it as certain.
+func refuse(err error) error {
+	if errors.Is(err, almondstep.ErrNotRun) {
+		return twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
--- a/outside.go
+++ b/outside.go
@@ -51,6 +51,8 @@
 	Pull(ctx context.Context, to Address, from DaemonID, have DocumentState) (*Patch, error)
 	// Claim asks the key's home daemon for the one run of a request.
 	Claim(ctx context.Context, to Address, c *ClaimKey) (ClaimOutcome, error)
+	// Status asks what a daemon says of itself.
+	Status(ctx context.Context, to Address) (*DaemonStatus, error)
 }
 
 // PeerServer answers other daemons' messages. Its methods wait until the
@@ -62,6 +64,7 @@
 	Probe(ctx context.Context, target DaemonID, d *Digest) (*Digest, bool, error)
 	Pull(ctx context.Context, from DaemonID, have DocumentState) (*Patch, error)
 	Claim(ctx context.Context, c *ClaimKey) (ClaimOutcome, error)
+	Status(ctx context.Context) (*DaemonStatus, error)
 }
 
 // Claimer gets the one run of a request that must not run twice.
@@ -86,7 +89,7 @@
 // Frontend takes callers' requests. Its methods wait for the answer.
 type Frontend interface {
 	Search(ctx context.Context, e *SearchArrived) *Answer
-	Run(ctx context.Context, e *RunArrived) *Answer
+	Execute(ctx context.Context, e *RunArrived) *Answer
 	// View is the newest view.
 	View() *View
 }
--- /dev/null
+++ b/reducer/reducer.go
@@ -0,0 +1,74 @@
+// Package reducer is the one function all events go through.
+//
+// A Reducer owns one part of the state: the control part, or one traffic
+// thread's queries, gathered works and upstreams. Each event belongs to exactly
+// one partition, so that the same function serves every thread:
+//
+//	ControlTick, ProbeArrived, ...     -> Control
+//	SearchArrived, WorkAnswered, ...   -> Queries    (the entry daemon's side)
+//	WorkArrived, ItemFinished, ...     -> Gathers    (the owner's side of a Work)
+//	ItemArrived, AttemptEnded, ...     -> Upstreams  (the owner's side of a server)
+//	ViewChanged                        -> all three traffic partitions
+//
+// There is no clock and no I/O here. The same events in the same order give the
+// same effects, which is what the golden files record.
+package reducer
+
+import "almondstep"
+
+// Partition is a part of a traffic thread's state.
+type Partition interface {
+	Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect
+}
+
+// ControlPartition is the control thread's state. It makes the views, so it is
+// given none.
+type ControlPartition interface {
+	Reduce(now almondstep.Instant, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect
+}
+
+// Reducer is the state of one thread. A control thread sets Control; a traffic
+// thread sets the other three.
+type Reducer struct {
+	Control   ControlPartition
+	Queries   Partition
+	Gathers   Partition
+	Upstreams Partition
+}
+
+// Reduce takes one event and appends what is to be done to out. An event of a
+// partition this reducer doesn't have changes nothing.
+func (r *Reducer) Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	switch e.(type) {
+	case *almondstep.ViewChanged:
+		return r.viewChanged(now, v, e, out)
+	case *almondstep.WorkArrived, *almondstep.CollectArrived, *almondstep.CancelArrived,
+		*almondstep.GatherTimer, *almondstep.ItemFinished:
+		return reduceIn(r.Gathers, now, v, e, out)
+	case almondstep.QueryEvent:
+		return reduceIn(r.Queries, now, v, e, out)
+	case almondstep.UpstreamEvent:
+		return reduceIn(r.Upstreams, now, v, e, out)
+	case almondstep.ControlEvent:
+		if r.Control == nil {
+			return out
+		}
+		return r.Control.Reduce(now, e, out)
+	}
+	return out
+}
+
+// viewChanged lets the upstreams go first: what they refuse under the new view
+// then reaches the gathers and the queries as ordinary events.
+func (r *Reducer) viewChanged(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	out = reduceIn(r.Upstreams, now, v, e, out)
+	out = reduceIn(r.Gathers, now, v, e, out)
+	return reduceIn(r.Queries, now, v, e, out)
+}
+
+func reduceIn(p Partition, now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	if p == nil {
+		return out
+	}
+	return p.Reduce(now, v, e, out)
+}
--- /dev/null
+++ b/runner/attempt_cancels.go
@@ -0,0 +1,43 @@
+package runner
+
+import (
+	"context"
+	"sync"
+
+	"almondstep"
+)
+
+// attemptKey names one call to one upstream.
+type attemptKey struct {
+	addr almondstep.Address
+	call almondstep.CallID
+}
+
+// attemptCancels remembers how to cancel the calls in flight. The call's own
+// goroutine removes it when the call ends, hence the lock.
+type attemptCancels struct {
+	mu    sync.Mutex
+	calls map[attemptKey]context.CancelFunc
+}
+
+func (c *attemptCancels) init() {
+	c.calls = make(map[attemptKey]context.CancelFunc)
+}
+
+func (c *attemptCancels) add(a almondstep.Address, call almondstep.CallID, cancel context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[attemptKey{addr: a, call: call}] = cancel
+}
+
+// cancel ends a call if it is still in flight and forgets it.
+func (c *attemptCancels) cancel(a almondstep.Address, call almondstep.CallID) {
+	k := attemptKey{addr: a, call: call}
+	c.mu.Lock()
+	cancel, ok := c.calls[k]
+	delete(c.calls, k)
+	c.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
--- /dev/null
+++ b/runner/document_reader.go
@@ -0,0 +1,105 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+)
+
+// readGrace is how much longer than its wait a read may take before it counts
+// as silent.
+const readGrace = 2 * time.Second
+
+// DocumentReader reads the documents that daemons hold copies of.
+type DocumentReader interface {
+	// Read returns nil without an error if the platform holds nothing newer.
+	Read(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error)
+}
+
+// PlatformReader reads documents from the platform's service.
+type PlatformReader struct {
+	Platform almondstep.Platform
+	// ConfigKey is where the operators' text is kept.
+	ConfigKey string
+	// DecodeConfig opens the value kept there.
+	DecodeConfig func(value []byte) (*almondstep.Document, error)
+
+	mu sync.Mutex
+	// seen is the key's revision at the last read, so that a watch waits for a
+	// write after it.
+	seen uint64
+	doc  almondstep.Revision
+}
+
+// Read gets a document, waiting for a change if the effect says so.
+func (p *PlatformReader) Read(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+readGrace)
+	defer cancel()
+	if f.Name == almondstep.DocumentFleet {
+		return p.readFleet(ctx, f)
+	}
+	return p.readConfig(ctx, f)
+}
+
+func (p *PlatformReader) readConfig(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error) {
+	after := p.watchFrom(f.After)
+	entry, err := p.get(ctx, after, f.Wait)
+	if err != nil {
+		return nil, err
+	}
+	if entry.Revision == 0 {
+		return nil, nil
+	}
+	doc, err := p.DecodeConfig(entry.Value)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration at the platform")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen = entry.Revision
+	p.doc = doc.Revision
+	return doc, nil
+}
+
+func (p *PlatformReader) get(ctx context.Context, after uint64, wait time.Duration) (almondstep.Entry, error) {
+	if after == 0 || wait == 0 {
+		return p.Platform.Get(ctx, p.ConfigKey)
+	}
+	return p.Platform.Watch(ctx, p.ConfigKey, after, wait)
+}
+
+// watchFrom is the key's revision to watch from; 0 reads at once, which is
+// right whenever the daemon holds another revision than the last one read here.
+func (p *PlatformReader) watchFrom(have almondstep.Revision) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if have == 0 || have != p.doc {
+		return 0
+	}
+	return p.seen
+}
+
+func (p *PlatformReader) readFleet(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error) {
+	fleet, err := p.Platform.Fleet(ctx, f.After, f.Wait)
+	if err != nil {
+		return nil, err
+	}
+	if fleet.Revision == 0 {
+		return nil, nil
+	}
+	body, err := json.Marshal(fleet)
+	if err != nil {
+		return nil, errors.Wrap(err, "list of VMs")
+	}
+	return &almondstep.Document{
+		Name:     almondstep.DocumentFleet,
+		Revision: fleet.Revision,
+		Hash:     almondstep.HashOf(body),
+		Body:     body,
+	}, nil
+}
--- /dev/null
+++ b/runner/effects_control.go
@@ -0,0 +1,105 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"almondstep"
+)
+
+// pullTimeout bounds the transfer of a document from another daemon.
+const pullTimeout = time.Second
+
+// performControl does the effects of the control partition.
+func (t *thread) performControl(f almondstep.Effect) {
+	r := t.runner
+	switch f := f.(type) {
+	case *almondstep.PublishView:
+		r.publish(f.View)
+	case *almondstep.SendProbe:
+		r.background(func(ctx context.Context) { r.sendProbe(ctx, f) })
+	case *almondstep.ReplyProbe:
+		r.calls.reply(f.Call, f)
+	case *almondstep.SendPull:
+		r.background(func(ctx context.Context) { r.sendPull(ctx, f) })
+	case *almondstep.ReplyPull:
+		r.calls.reply(f.Call, f)
+	case *almondstep.ReadDocument:
+		r.background(func(ctx context.Context) { r.readDocument(ctx, f) })
+	case *almondstep.TakeZoneLease:
+		r.background(func(ctx context.Context) { r.takeZoneLease(ctx, f) })
+	case *almondstep.Report:
+		r.report(f)
+	default:
+		r.Logger.Error("effect without a performer", "kind", f.Kind())
+	}
+}
+
+// publish puts a view in force on all threads in one step, then lets each
+// thread act on what the change ends.
+func (r *Runner) publish(v *almondstep.View) {
+	r.view.Store(v)
+	r.heard.keep(v)
+	r.Recorder.Viewed(v)
+	for _, t := range r.traffic {
+		t.push(&almondstep.ViewChanged{})
+	}
+}
+
+func (r *Runner) sendProbe(ctx context.Context, f *almondstep.SendProbe) {
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	defer cancel()
+	d, ok, err := r.Peers.Probe(ctx, f.Addr, f.Target, &f.Digest)
+	r.control.push(&almondstep.ProbeEnded{
+		To:     f.To,
+		Target: f.Target,
+		OK:     ok && err == nil,
+		Digest: d,
+	})
+}
+
+func (r *Runner) sendPull(ctx context.Context, f *almondstep.SendPull) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	p, err := r.Peers.Pull(ctx, f.Addr, r.Self, f.Have)
+	if err != nil {
+		r.Logger.Debug("pull failed", "from", f.To, "document", f.Have.Name, "err", err)
+	}
+	r.control.push(&almondstep.PullEnded{From: f.To, Name: f.Have.Name, Patch: p})
+}
+
+func (r *Runner) readDocument(ctx context.Context, f *almondstep.ReadDocument) {
+	doc, err := r.Documents.Read(ctx, f)
+	r.Recorder.PlatformCalled(string(f.Name), err)
+	e := &almondstep.DocumentRead{Name: f.Name, Document: doc}
+	if err != nil {
+		e.Err = err.Error()
+	}
+	r.control.push(e)
+}
+
+func (r *Runner) takeZoneLease(ctx context.Context, f *almondstep.TakeZoneLease) {
+	began := time.Now()
+	err := r.Platform.Lease(ctx, zoneLeaseKey(f.Zone), string(r.Self), f.TTL)
+	r.Recorder.PlatformCalled("zoneLease", err)
+	// The lease runs from when it was asked for, so that the holder never
+	// believes in it longer than the platform does.
+	e := &almondstep.ZoneLeaseRead{Held: err == nil, Remaining: f.TTL - time.Since(began)}
+	if err != nil {
+		e.Remaining = 0
+		e.Err = err.Error()
+	}
+	r.control.push(e)
+}
+
+func zoneLeaseKey(z almondstep.ZoneName) string {
+	return "almondstep/zones/" + string(z)
+}
+
+func (r *Runner) report(f *almondstep.Report) {
+	if f.Level == almondstep.ReportWarn {
+		r.Logger.Warn(f.Message, "subject", f.Subject)
+		return
+	}
+	r.Logger.Info(f.Message, "subject", f.Subject)
+}
--- a/view.go
+++ b/view.go
@@ -191,3 +191,6 @@
 	a, ok := v.peers[id]
 	return a, ok
 }
+
+// Peers has the addresses of the other daemons. The caller must not change it.
+func (v *View) Peers() map[DaemonID]Address { return v.peers }
