Check the operators' text, all problems at once

Cause: nothing turned the operators' text into a catalog, and whoever writes it needs every mistake with its place, not the first one. Ruled out: decoding with encoding/json, which stops at the first wrong type and knows no places.

--- a/catalog.go
+++ b/catalog.go
@@ -1,7 +1,6 @@
 package almondstep
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -178,12 +177,14 @@
 // first. A service reached twice is listed once.
 func (c *Catalog) closureOf(name ServiceName) ([]ServiceName, error) {
 	closure := []ServiceName{name}
+	seen := map[ServiceName]bool{name: true}
 	for i := 0; i < len(closure); i++ {
 		for _, d := range c.services[closure[i]].text.DependsOn {
 			if _, ok := c.services[d]; !ok {
 				return nil, errors.Wrapf(ErrInvalid, "service %q depends on %q, which doesn't exist", closure[i], d)
 			}
-			if !slices.Contains(closure, d) {
+			if !seen[d] {
+				seen[d] = true
 				closure = append(closure, d)
 			}
 		}
--- /dev/null
+++ b/decoder/node.go
@@ -0,0 +1,170 @@
+package decoder
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Kind is the type of a value in a text.
+type Kind uint8
+
+// Kinds of values.
+const (
+	KindNull Kind = iota
+	KindBool
+	KindNumber
+	KindString
+	KindArray
+	KindObject
+)
+
+// String names the kind as a message to people does.
+func (k Kind) String() string {
+	switch k {
+	case KindBool:
+		return "true or false"
+	case KindNumber:
+		return "a number"
+	case KindString:
+		return "a string"
+	case KindArray:
+		return "a list"
+	case KindObject:
+		return "an object"
+	default:
+		return "null"
+	}
+}
+
+// Node is one value of a text.
+type Node struct {
+	doc   *Document
+	value *hujson.Value
+}
+
+// Member is one key and value of an object.
+type Member struct {
+	name  string
+	key   Node
+	value Node
+}
+
+// Name is the key's text.
+func (m Member) Name() string { return m.name }
+
+// Key is the key's place.
+func (m Member) Key() Node { return m.key }
+
+// Value is the member's value.
+func (m Member) Value() Node { return m.value }
+
+// Kind is the type of the value.
+func (n Node) Kind() Kind {
+	switch n.value.Value.Kind() {
+	case '{':
+		return KindObject
+	case '[':
+		return KindArray
+	case '"':
+		return KindString
+	case '0':
+		return KindNumber
+	case 't', 'f':
+		return KindBool
+	default:
+		return KindNull
+	}
+}
+
+// Start is the offset of the value's first byte.
+func (n Node) Start() int { return n.value.StartOffset }
+
+// Line is the line of the value's first byte, from 1.
+func (n Node) Line() int {
+	return 1 + bytes.Count(n.doc.body[:n.Start()], []byte("\n"))
+}
+
+// End is the offset after the value's last byte.
+func (n Node) End() int { return n.value.EndOffset }
+
+// Members lists an object's keys and values in the order of the text.
+func (n Node) Members() []Member {
+	object, ok := n.value.Value.(*hujson.Object)
+	if !ok {
+		return nil
+	}
+	members := make([]Member, 0, len(object.Members))
+	for i := range object.Members {
+		m := &object.Members[i]
+		key := Node{doc: n.doc, value: &m.Name}
+		text, _ := key.Text()
+		members = append(members, Member{name: text, key: key, value: Node{doc: n.doc, value: &m.Value}})
+	}
+	return members
+}
+
+// Elements lists an array's values.
+func (n Node) Elements() []Node {
+	array, ok := n.value.Value.(*hujson.Array)
+	if !ok {
+		return nil
+	}
+	elements := make([]Node, 0, len(array.Elements))
+	for i := range array.Elements {
+		elements = append(elements, Node{doc: n.doc, value: &array.Elements[i]})
+	}
+	return elements
+}
+
+// Text is a string's content.
+func (n Node) Text() (string, bool) {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		return "", false
+	}
+	return literal.String(), true
+}
+
+// Bool is the value of true or false.
+func (n Node) Bool() (value, ok bool) {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || n.Kind() != KindBool {
+		return false, false
+	}
+	return literal.Bool(), true
+}
+
+// Int is the value of a whole number.
+func (n Node) Int() (int64, bool) {
+	var i int64
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || n.Kind() != KindNumber || json.Unmarshal(literal, &i) != nil {
+		return 0, false
+	}
+	return i, true
+}
+
+// Float is the value of a number.
+func (n Node) Float() (float64, bool) {
+	var f float64
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || n.Kind() != KindNumber || json.Unmarshal(literal, &f) != nil {
+		return 0, false
+	}
+	return f, true
+}
+
+// Problem notes a problem at the value.
+func (n Node) Problem(reason, remedy string) { n.doc.Add(n.Start(), reason, remedy) }
+
+// WrongKind notes that something else was expected, such as "a whole number".
+func (n Node) WrongKind(path, want string) {
+	subject := ""
+	if path != "" {
+		subject = strings.TrimPrefix(path, "/") + ": "
+	}
+	n.Problem(subject+n.Kind().String()+" instead of "+want, "write "+want+" here")
+}
