--- /dev/null
+++ b/loader/row.go
@@ -0,0 +1,174 @@
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"almondstep"
+	"almondstep/decoder"
+)
+
+// Row is one setting.
+type Row struct {
+	key      string
+	unit     string
+	fallback string
+	help     string
+	required bool
+	least    int64
+	most     int64
+	choices  []string
+	field    func(*Settings) any
+}
+
+// Key is the setting's name in the file.
+func (r Row) Key() string { return r.key }
+
+// Unit is the unit of the value, or its form.
+func (r Row) Unit() string { return r.unit }
+
+// Default is the value of a setting that is left out, as JSON. For a required
+// one it is an example.
+func (r Row) Default() string { return r.fallback }
+
+// Help says what the setting is for.
+func (r Row) Help() string { return r.help }
+
+// Required says that there is no default.
+func (r Row) Required() bool { return r.required }
+
+// Range says which values are taken.
+func (r Row) Range() string {
+	switch {
+	case len(r.choices) > 0:
+		return strings.Join(r.choices, ", ")
+	case r.unit == unitDuration, r.unit == unitDurations:
+		return fmt.Sprintf("%s to %s", time.Duration(r.least), time.Duration(r.most))
+	case r.most != 0:
+		return fmt.Sprintf("%d to %d", r.least, r.most)
+	default:
+		return "any"
+	}
+}
+
+// set takes a value from the file, or notes a problem at it.
+func (r Row) set(s *Settings, n decoder.Node) {
+	switch field := r.field(s).(type) {
+	case *string:
+		r.setText(n, func(text string) { *field = text })
+	case *almondstep.ZoneName:
+		r.setText(n, func(text string) { *field = almondstep.ZoneName(text) })
+	case *almondstep.Address:
+		r.setText(n, func(text string) { *field = almondstep.Address(text) })
+	case *time.Duration:
+		*field = r.duration(r.key, n)
+	case *int:
+		*field = r.number(n)
+	case *bool:
+		value, ok := n.Bool()
+		if !ok {
+			n.WrongKind(r.key, "true or false")
+		}
+		*field = value
+	case *map[almondstep.ZoneName]time.Duration:
+		*field = r.durations(n)
+	}
+}
+
+func (r Row) setText(n decoder.Node, take func(string)) {
+	text, ok := n.Text()
+	if !ok {
+		n.WrongKind(r.key, "a string")
+		return
+	}
+	if reason, remedy := r.badText(text); reason != "" {
+		n.Problem(fmt.Sprintf("%s %q %s", r.key, text, reason), remedy)
+		return
+	}
+	take(text)
+}
+
+// badText says why a text can't be used, and what to do; both are empty if it can.
+func (r Row) badText(text string) (reason, remedy string) {
+	switch {
+	case text == "" && r.required:
+		return "is empty", "give a value; it has no default"
+	case text == "":
+		return "", ""
+	case len(r.choices) > 0 && !slices.Contains(r.choices, text):
+		return "doesn't exist", "choose one of: " + strings.Join(r.choices, ", ")
+	case r.unit == unitAddress && badAddress(text):
+		return "is no address", "write an IP number and a port, like \"127.0.0.1:7101\""
+	case r.unit == unitName && badName(text):
+		return "is no name", "use 1 to 64 letters, digits and any of - _ ."
+	}
+	return "", ""
+}
+
+func badAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err != nil
+}
+
+func badName(text string) bool {
+	return len(text) > maxNameBytes || strings.ContainsFunc(text, func(c rune) bool {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		return !letter && !digit && !strings.ContainsRune("-_.", c)
+	})
+}
+
+func (r Row) number(n decoder.Node) int {
+	value, ok := n.Int()
+	if !ok {
+		n.WrongKind(r.key, "a whole number")
+		return 0
+	}
+	if value < r.least || value > r.most {
+		n.Problem(fmt.Sprintf("%s is %d", r.key, value),
+			fmt.Sprintf("give a whole number from %d to %d (%s)", r.least, r.most, r.unit))
+	}
+	return int(value)
+}
+
+func (r Row) duration(path string, n decoder.Node) time.Duration {
+	text, ok := n.Text()
+	if !ok {
+		n.WrongKind(path, "a duration like \"40ms\"")
+		return 0
+	}
+	least, most := time.Duration(r.least), time.Duration(r.most)
+	remedy := fmt.Sprintf("write a duration from %s to %s with its unit, like \"40ms\"", least, most)
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		n.Problem(fmt.Sprintf("%s %q is no duration", path, text), remedy)
+		return 0
+	}
+	if d < least || d > most {
+		n.Problem(fmt.Sprintf("%s is %s", path, d), remedy)
+	}
+	return d
+}
+
+func (r Row) durations(n decoder.Node) map[almondstep.ZoneName]time.Duration {
+	if n.Kind() != decoder.KindObject {
+		n.WrongKind(r.key, "an object")
+		return nil
+	}
+	members := n.Members()
+	byZone := make(map[almondstep.ZoneName]time.Duration, len(members))
+	for _, m := range members {
+		zone := almondstep.ZoneName(m.Name())
+		if _, twice := byZone[zone]; twice {
+			m.Key().Problem(fmt.Sprintf("key %q is given twice", zone), "remove one of the two")
+		}
+		if zone == "" || badName(m.Name()) {
+			m.Key().Problem(fmt.Sprintf("%q is no zone name", zone), "use 1 to 64 letters, digits and any of - _ .")
+		}
+		byZone[zone] = r.duration(r.key+"/"+m.Name(), m.Value())
+	}
+	return byZone
+}
--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,41 @@
+package loader
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+// Settings is what a daemon learns from its file. The rows of the table say
+// what each field is for.
+type Settings struct {
+	IDPrefix        string
+	Zone            almondstep.ZoneName
+	PlatformAddress almondstep.Address
+	ListenCallers   almondstep.Address
+	ListenOperators almondstep.Address
+	ListenPeers     almondstep.Address
+	AdvertisePeers  almondstep.Address
+	Distances       map[almondstep.ZoneName]time.Duration
+	CertFile        string
+	KeyFile         string
+	CAFile          string
+	TLSCallers      bool
+	TLSOperators    bool
+	TLSPeers        bool
+	LogLevel        string
+	LogJSON         bool
+	ReadyDelay      time.Duration
+	StopTimeout     time.Duration
+	TrafficThreads  int
+	MaxBodyBytes    int
+	Seed            int
+}
+
+// Advertised is the address under which other daemons reach this one.
+func (s *Settings) Advertised() almondstep.Address {
+	if s.AdvertisePeers != "" {
+		return s.AdvertisePeers
+	}
+	return s.ListenPeers
+}
