--- a/message_query.go
+++ b/message_query.go
@@ -72,6 +72,10 @@
 	Items []Item `json:"items"`
 }
 
+// Repeatable says whether running the work twice does no harm: it is a search,
+// or an operation that the operators' text calls idempotent.
+func (w *Work) Repeatable() bool { return w.Operation == "" || w.Idempotent }
+
 // ItemOutcome says how one item of a Work ended.
 type ItemOutcome uint8
 
--- a/message_upstream.go
+++ b/message_upstream.go
@@ -183,7 +183,7 @@
 type StartAttempt struct {
 	Addr        Address       `json:"addr"`
 	Call        CallID        `json:"call"`
-	Shard       Shard         `json:"-"`
+	Shard       Shard         `json:"shard"`
 	Version     Version       `json:"version"`
 	Text        string        `json:"text"`
 	Limit       int           `json:"limit"`
@@ -191,8 +191,15 @@
 	Idempotent  bool          `json:"idempotent"`
 	Timeout     time.Duration `json:"timeout"`
 	Connections int           `json:"connections"`
+	// Proof asks only whether the upstream answers: the call carries no caller's
+	// request, and any answer will do.
+	Proof bool `json:"proof,omitempty"`
 }
 
+// ReasonCanceled is the reason of an item that nobody waits for any more. It is
+// in no answer to a caller.
+const ReasonCanceled Reason = "canceled"
+
 // CancelAttempt asks for a request in flight to be canceled, up to the upstream.
 type CancelAttempt struct {
 	Addr Address `json:"addr"`
