gatherer: one early and one late answer for a Work at its owner

Cause: an entry daemon sends one message per owner and wants what is there at the hedge delay, the rest when it is done, and each record exactly once.

Change: package gatherer spreads a Work's items over the upstreams, holds the first Limit records in key order, answers at the flush time with the rest as pending, and a Collect with that rest. A repeated Work doesn't run again until its deadline. The merge is local: it sorts by key and names each record's item.

--- a/gatherer/gather.go
+++ b/gatherer/gather.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -31,7 +32,7 @@
 	unfinished int
 	// hint is where the item that finishes next is looked for first.
 	hint    int
-	records []almondstep.Record
+	records []held
 	waiter  waiter
 	ended   bool
 }
@@ -41,6 +42,15 @@
 	answer   almondstep.ItemAnswer
 	finished bool
 	told     bool
+	// place is where the item stands in the answer that told it.
+	place uint32
+}
+
+// held is a record of a finished item that is not told yet.
+type held struct {
+	record almondstep.Record
+	// from is the item's place in the Work.
+	from uint32
 }
 
 func newGather(k key, w *almondstep.Work, now almondstep.Instant) *gather {
@@ -88,53 +98,64 @@
 // take notes that an item has finished. It returns false if the item is not of
 // this Work or has finished before.
 func (g *gather) take(e *almondstep.ItemFinished) bool {
-	s := g.find(e.Answer.Item)
-	if s == nil || s.finished {
+	i := g.find(e.Answer.Item)
+	if i < 0 || g.items[i].finished {
 		return false
 	}
+	s := &g.items[i]
 	s.finished = true
 	s.answer = e.Answer
 	g.unfinished--
-	if e.Answer.Outcome == almondstep.ItemDone && g.work.Limit > 0 {
-		g.records = append(g.records, e.Records...)
-		g.trim()
+	if e.Answer.Outcome == almondstep.ItemDone {
+		g.hold(uint32(i), e.Records)
 	}
 	return true
 }
 
-// find finds an item's place. Items finish much in the order in which they
-// were asked, so the search begins behind the last one.
-func (g *gather) find(item almondstep.Item) *slot {
+// hold keeps an item's records for the next answer.
+func (g *gather) hold(from uint32, records []almondstep.Record) {
+	g.records = slices.Grow(g.records, len(records))
+	for _, r := range records {
+		g.records = append(g.records, held{record: r, from: from})
+	}
+	if len(g.records) > spareOverLimit*g.work.Limit {
+		g.records = firstInOrder(g.records, g.work.Limit)
+	}
+}
+
+// find finds an item's place, or -1. Items finish much in the order in which
+// they were asked, so the search begins behind the last one.
+func (g *gather) find(item almondstep.Item) int {
 	for n := range g.items {
 		i := (g.hint + n) % len(g.items)
 		if g.items[i].answer.Item == item {
 			g.hint = i + 1
-			return &g.items[i]
+			return i
 		}
 	}
-	return nil
+	return -1
 }
 
-// spareOverLimit is how many times the limit may be held before it is trimmed.
+// spareOverLimit is how many times the limit may be held before the records
+// are trimmed, so that memory doesn't grow with the number of items.
 const spareOverLimit = 2
 
-// trim keeps the first Limit records in key order once there are many, so that
-// memory doesn't grow with the number of items.
-func (g *gather) trim() {
-	if len(g.records) > spareOverLimit*g.work.Limit {
-		g.records = firstInOrder(g.records, g.work.Limit)
-	}
+// firstInOrder sorts records by key and keeps the first ones.
+func firstInOrder(records []held, limit int) []held {
+	slices.SortFunc(records, compareHeld)
+	return records[:min(max(0, limit), len(records))]
 }
 
-// firstInOrder sorts records by key and keeps the first ones.
-func firstInOrder(records []almondstep.Record, limit int) []almondstep.Record {
-	slices.SortStableFunc(records, func(a, b almondstep.Record) int {
-		if n := strings.Compare(a.Key, b.Key); n != 0 {
-			return n
-		}
-		return strings.Compare(a.Body, b.Body)
-	})
-	return records[:min(limit, len(records))]
+// compareHeld orders records with the same key too, so that the order in which
+// items finish doesn't show.
+func compareHeld(a, b held) int {
+	if n := strings.Compare(a.record.Key, b.record.Key); n != 0 {
+		return n
+	}
+	if n := cmp.Compare(a.from, b.from); n != 0 {
+		return n
+	}
+	return strings.Compare(a.record.Body, b.record.Body)
 }
 
 // answer tells all that is finished and not yet told, and what is pending.
@@ -147,14 +168,31 @@
 			continue
 		case s.finished:
 			s.told = true
+			s.place = uint32(len(items))
 			items = append(items, s.answer)
 		default:
 			items = append(items, pending(s.answer.Item))
 		}
 	}
-	records := firstInOrder(g.records, g.work.Limit)
+	r := g.replyWith(v, items)
+	g.release(r.Answer)
+	return r
+}
+
+// release moves the held records into an answer, each with its item's place
+// there.
+func (g *gather) release(a *almondstep.WorkAnswered) {
+	first := firstInOrder(g.records, g.work.Limit)
 	g.records = nil
-	return g.replyWith(v, items, records)
+	if len(first) == 0 {
+		return
+	}
+	a.Records = make([]almondstep.Record, len(first))
+	a.Sources = make([]uint32, len(first))
+	for i, h := range first {
+		a.Records[i] = h.record
+		a.Sources[i] = g.items[h.from].place
+	}
 }
 
 // retold answers a Work that has come again after it was answered. Items whose
@@ -172,21 +210,20 @@
 		}
 		items = append(items, a)
 	}
-	return g.replyWith(v, items, nil)
+	return g.replyWith(v, items)
 }
 
 func pending(item almondstep.Item) almondstep.ItemAnswer {
 	return almondstep.ItemAnswer{Item: item, Outcome: almondstep.ItemPending}
 }
 
-func (g *gather) replyWith(v *almondstep.View, items []almondstep.ItemAnswer, records []almondstep.Record) *almondstep.ReplyWork {
+func (g *gather) replyWith(v *almondstep.View, items []almondstep.ItemAnswer) *almondstep.ReplyWork {
 	return &almondstep.ReplyWork{Answer: &almondstep.WorkAnswered{
 		ID:      g.key.query,
 		Attempt: g.key.attempt,
 		Owner:   v.Self(),
 		Version: g.work.Version,
 		Items:   items,
-		Records: records,
 	}}
 }
 
@@ -198,8 +235,8 @@
 }
 
 func (g *gather) cancelOne(t *turn, item almondstep.Item, reason almondstep.Reason) {
-	if s := g.find(item); s != nil {
-		g.cancelSlot(t, s, reason)
+	if i := g.find(item); i >= 0 {
+		g.cancelSlot(t, &g.items[i], reason)
 	}
 }
 
@@ -212,7 +249,7 @@
 	s.finished = true
 	g.unfinished--
 	s.answer.Outcome = almondstep.ItemUnknown
-	if g.work.Idempotent {
+	if g.work.Repeatable() {
 		s.answer.Outcome = almondstep.ItemFailed
 	}
 	s.answer.Reason = reason
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -33,9 +33,9 @@
 	open map[key]*gather
 	// running counts the open ones that are not yet answered in full.
 	running int
-	// ended has the answered ones, the earliest ended first. They are kept until
-	// their deadline, so that a Work that comes again doesn't run again.
-	ended []*gather
+	// ended has the answered ones. They are kept until their deadline, so that a
+	// Work that comes again doesn't run again.
+	ended endedWorks
 }
 
 // key identifies a Work.
@@ -115,9 +115,7 @@
 		return almondstep.ReasonStopping
 	case w.Remaining <= 0:
 		return almondstep.ReasonDeadline
-	case s.running >= s.cfg.MaxOpen:
-		return almondstep.ReasonShed
-	case len(s.open) >= 2*s.cfg.MaxOpen:
+	case s.running >= s.cfg.MaxOpen || len(s.ended.once) >= s.cfg.MaxOpen:
 		return almondstep.ReasonShed
 	default:
 		return ""
@@ -244,16 +242,13 @@
 	g.ended = true
 	g.records = nil
 	s.running--
-	s.ended = append(s.ended, g)
+	s.ended.add(g)
 }
 
-// forgetEnded frees the ended Works whose deadline has passed.
+// forgetEnded frees the ended Works whose deadline has passed, and the oldest
+// searches if there are too many.
 func (s *Gathers) forgetEnded(now almondstep.Instant) {
-	n := 0
-	for n < len(s.ended) && s.ended[n].deadline <= now {
-		delete(s.open, s.ended[n].key)
-		s.ended[n] = nil
-		n++
+	for g := s.ended.expired(now, s.cfg.MaxOpen); g != nil; g = s.ended.expired(now, s.cfg.MaxOpen) {
+		delete(s.open, g.key)
 	}
-	s.ended = s.ended[n:]
 }
