Query path, thin: admit, plan, canary, fan out, hedge, merge, answer

Change: querier.Queries takes a query from its arrival to its one answer, with the decisions in planner (one version for the closure), hedger (latency digest, one token budget), merger (first records in key order, bounded) and admitter (classes, tenant shares, deadline). Resends, crashes, lost owners, re-planning and the one run of a request that is not idempotent have their code paths; their failure tests come next.

Result: a search over 12 shards is answered completely after all three owners have, and partially, with the missing shards named, at the soft deadline. No failure path has been tested yet.

--- /dev/null
+++ b/admitter/doc.go
@@ -0,0 +1,16 @@
+// Package admitter decides whether a query is taken in, before it costs
+// anything.
+//
+// It is apart because a refusal must be true: everything it looks at is known
+// on arrival, so nothing has begun when it says no. There is no queue at the
+// entry daemon; waiting is done at the owners, by class and with deadlines.
+//
+// Classes: class of priority 0 may fill all open places, each lower class
+// leaves a quarter to those above. Tenants: one that has more than its share of
+// the open places gets no more while three quarters of them are taken, so that
+// the last quarter is always there for a tenant below its share.
+//
+// Example: of 100 places, a tenant with share 1 of 2 floods with urgent
+// lookups. It is refused at 75 open ones; the other tenant's next 25 are
+// admitted.
+package admitter
--- /dev/null
+++ b/merger/merger.go
@@ -0,0 +1,82 @@
+package merger
+
+import (
+	"cmp"
+	"slices"
+
+	"almondstep"
+)
+
+// Records keeps the first records in key order. Records with equal keys are
+// ordered by their bodies, so that the order of arrival never shows. The zero
+// value keeps nothing until Reset gives it a limit.
+type Records struct {
+	limit int
+	kept  []almondstep.Record
+	spare []almondstep.Record
+}
+
+// Reset forgets all records and sets the limit.
+func (m *Records) Reset(limit int) {
+	m.limit = max(0, limit)
+	clear(m.kept)
+	clear(m.spare)
+	m.kept = m.kept[:0]
+	m.spare = m.spare[:0]
+}
+
+// Add merges records in. They are expected to be in key order; if they aren't,
+// a sorted copy is taken.
+func (m *Records) Add(records []almondstep.Record) {
+	if !slices.IsSortedFunc(records, Compare) {
+		records = slices.Clone(records)
+		slices.SortFunc(records, Compare)
+	}
+	if len(records) > m.limit {
+		records = records[:m.limit]
+	}
+	if len(records) == 0 {
+		return
+	}
+	if m.addAtEnd(records) {
+		return
+	}
+	m.addBetween(records)
+}
+
+// addAtEnd handles the two cheap cases: all of it goes after what is kept, or
+// there is no more room there.
+func (m *Records) addAtEnd(records []almondstep.Record) bool {
+	if len(m.kept) > 0 && Compare(records[0], m.kept[len(m.kept)-1]) < 0 {
+		return false
+	}
+	room := m.limit - len(m.kept)
+	m.kept = append(m.kept, records[:min(room, len(records))]...)
+	return true
+}
+
+func (m *Records) addBetween(records []almondstep.Record) {
+	merged := m.spare[:0]
+	i, j := 0, 0
+	for len(merged) < m.limit && (i < len(m.kept) || j < len(records)) {
+		if j == len(records) || (i < len(m.kept) && Compare(m.kept[i], records[j]) <= 0) {
+			merged = append(merged, m.kept[i])
+			i++
+			continue
+		}
+		merged = append(merged, records[j])
+		j++
+	}
+	m.spare = m.kept
+	m.kept = merged
+}
+
+// Kept gives a copy of the records kept, in key order.
+func (m *Records) Kept() []almondstep.Record {
+	return slices.Clone(m.kept)
+}
+
+// Compare orders records by key, then by body.
+func Compare(a, b almondstep.Record) int {
+	return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Body, b.Body))
+}
--- /dev/null
+++ b/planner/build.go
@@ -0,0 +1,109 @@
+package planner
+
+import "almondstep"
+
+// build makes the plan of one version.
+func build(v *almondstep.View, closure []almondstep.ServiceName, version almondstep.Version) *Plan {
+	plan := &Plan{version: version, complete: true, warm: true}
+	for _, s := range closure {
+		plan.addService(v, s, choosePlacement(v, s, version))
+	}
+	return plan
+}
+
+// choosePlacement takes, of a service's placements at a version, the one that
+// covers the most of the key space: while shards are being repartitioned there
+// can be two. Where the version has none, every shard of the newest
+// partitioning is wanted and none can be had.
+func choosePlacement(v *almondstep.View, s almondstep.ServiceName, version almondstep.Version) almondstep.Placement {
+	var chosen almondstep.Placement
+	covered := uint64(0)
+	for _, p := range v.Placements(s) {
+		if p.Version() != version || p.Of() == 0 {
+			continue
+		}
+		c := coveredBy(v, s, p)
+		if chosen.Of() == 0 || c > covered {
+			chosen = p
+			covered = c
+		}
+	}
+	if chosen.Of() != 0 {
+		return chosen
+	}
+	for _, p := range v.Placements(s) {
+		if p.Of() != 0 {
+			return almondstep.NewPlacement(version, p.Of(), nil)
+		}
+	}
+	// Nothing is known of the service: its whole key space is missing.
+	return almondstep.NewPlacement(version, 1, nil)
+}
+
+func coveredBy(v *almondstep.View, s almondstep.ServiceName, p almondstep.Placement) uint64 {
+	covered := uint64(0)
+	for i := range p.Of() {
+		for _, r := range p.Replicas(i) {
+			if Usable(v, r) {
+				covered += width(almondstep.NewShard(s, i, p.Of()))
+				break
+			}
+		}
+	}
+	return covered
+}
+
+func (p *Plan) addService(v *almondstep.View, s almondstep.ServiceName, placement almondstep.Placement) {
+	of := placement.Of()
+	p.spans = append(p.spans, span{service: s, of: of, first: len(p.targets), count: int(of)})
+	for i := range of {
+		p.addTarget(v, almondstep.NewShard(s, i, of), placement.Replicas(i))
+	}
+}
+
+func (p *Plan) addTarget(v *almondstep.View, s almondstep.Shard, replicas []almondstep.Replica) {
+	candidates, equals := rank(v, replicas)
+	p.targets = append(p.targets, Target{shard: s, candidates: candidates, equals: equals})
+	if len(candidates) == 0 {
+		p.complete = false
+		p.warm = false
+		return
+	}
+	p.covered += width(s)
+	if candidates[0].Temperature() != almondstep.Warm {
+		p.warm = false
+	}
+}
+
+func width(s almondstep.Shard) uint64 {
+	from, to := s.Range()
+	return to - from
+}
+
+// Run gives the plan of an operation on the one shard that holds a record key:
+// the newest version at which it has a warm replica, else a cold one. The plan
+// has one target, which may have no candidate.
+func Run(v *almondstep.View, s almondstep.ServiceName, recordKey string) *Plan {
+	var chosen *Plan
+	for _, p := range v.Placements(s) {
+		if p.Of() == 0 {
+			continue
+		}
+		plan := oneShard(v, p.Version(), almondstep.ShardOfKey(s, recordKey, p.Of()), p)
+		if chosen == nil || better(plan, chosen) {
+			chosen = plan
+		}
+	}
+	if chosen == nil {
+		none := almondstep.NewPlacement(0, 1, nil)
+		return oneShard(v, 0, almondstep.NewShard(s, 0, 1), none)
+	}
+	return chosen
+}
+
+func oneShard(v *almondstep.View, version almondstep.Version, s almondstep.Shard, p almondstep.Placement) *Plan {
+	plan := &Plan{version: version, complete: true, warm: true}
+	plan.spans = []span{{service: s.Service(), of: s.Of(), base: s.Index(), count: 1}}
+	plan.addTarget(v, s, p.Replicas(s.Index()))
+	return plan
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"almondstep"
+)
+
+// Planner makes plans and keeps those of the newest view it was asked about.
+// The zero value is ready.
+type Planner struct {
+	view   *almondstep.View
+	plans  map[almondstep.ServiceName]*Plan
+	newers map[newerKey]*Plan
+}
+
+type newerKey struct {
+	service almondstep.ServiceName
+	than    almondstep.Version
+}
+
+// Search gives the plan of a search on a service and all it depends on. The
+// service must be in the view's catalog.
+func (p *Planner) Search(v *almondstep.View, s almondstep.Service) *Plan {
+	p.turnTo(v)
+	plan, ok := p.plans[s.Name()]
+	if !ok {
+		plan = best(v, s.Closure(), versions(v, s.Closure()))
+		p.plans[s.Name()] = plan
+	}
+	return plan
+}
+
+// Newer gives a plan to start over with when a shard of than can't be had any
+// more: complete, not older, and of another version or partitioning. It is nil
+// if there is none.
+func (p *Planner) Newer(v *almondstep.View, s almondstep.Service, than *Plan) *Plan {
+	p.turnTo(v)
+	key := newerKey{service: s.Name(), than: than.version}
+	plan, ok := p.newers[key]
+	if !ok {
+		plan = best(v, s.Closure(), notBelow(versions(v, s.Closure()), than.version))
+		p.newers[key] = plan
+	}
+	if !plan.complete || plan.version < than.version || plan.SameShards(than) {
+		return nil
+	}
+	return plan
+}
+
+func (p *Planner) turnTo(v *almondstep.View) {
+	if p.view == v && p.plans != nil {
+		return
+	}
+	p.view = v
+	p.plans = make(map[almondstep.ServiceName]*Plan)
+	p.newers = make(map[newerKey]*Plan)
+}
+
+// versions lists the versions any service of the closure has, newest first.
+func versions(v *almondstep.View, closure []almondstep.ServiceName) []almondstep.Version {
+	var all []almondstep.Version
+	for _, s := range closure {
+		for _, p := range v.Placements(s) {
+			all = append(all, p.Version())
+		}
+	}
+	slices.SortFunc(all, func(a, b almondstep.Version) int { return cmp.Compare(b, a) })
+	return slices.Compact(all)
+}
+
+func notBelow(newestFirst []almondstep.Version, least almondstep.Version) []almondstep.Version {
+	n := 0
+	for n < len(newestFirst) && newestFirst[n] >= least {
+		n++
+	}
+	return newestFirst[:n]
+}
+
+// best builds a plan for each version and keeps the best; the first, being the
+// newest, wins over equals.
+func best(v *almondstep.View, closure []almondstep.ServiceName, newestFirst []almondstep.Version) *Plan {
+	var chosen *Plan
+	for _, version := range newestFirst {
+		plan := build(v, closure, version)
+		if chosen == nil || better(plan, chosen) {
+			chosen = plan
+		}
+		if chosen.warm {
+			return chosen
+		}
+	}
+	if chosen == nil {
+		return build(v, closure, 0)
+	}
+	return chosen
+}
+
+func better(a, b *Plan) bool {
+	if a.warm != b.warm {
+		return a.warm
+	}
+	if a.complete != b.complete {
+		return a.complete
+	}
+	return a.covered > b.covered
+}
--- /dev/null
+++ b/planner/repick.go
@@ -0,0 +1,100 @@
+package planner
+
+import "almondstep"
+
+// Tried is a replica that a shard was asked of before, and through whom.
+type Tried struct {
+	Upstream almondstep.Address
+	Owner    almondstep.DaemonID
+}
+
+// Want says what a further attempt at a shard needs.
+type Want struct {
+	Shard   almondstep.Shard
+	Version almondstep.Version
+	Tried   []Tried
+	// WarmOnly leaves out cold replicas: hedges and retries never go there.
+	WarmOnly bool
+	// OtherUpstream leaves out every upstream tried, since it may be the straggler.
+	OtherUpstream bool
+	// OtherOwner leaves out every owner tried, since it may be lost.
+	OtherOwner bool
+	// Hash spreads the choice over equally good replicas.
+	Hash uint64
+}
+
+// Repick finds a replica for a further attempt in the newest view, which may
+// know more than the plan: leaving upstreams, zones out and new owners. An
+// upstream not tried yet goes before one tried through another owner.
+func Repick(v *almondstep.View, w Want) (almondstep.Replica, bool) {
+	for _, p := range v.Placements(w.Shard.Service()) {
+		if p.Version() != w.Version || p.Of() != w.Shard.Of() {
+			continue
+		}
+		if r, ok := repickFrom(v, &w, p.Replicas(w.Shard.Index())); ok {
+			return r, true
+		}
+	}
+	return almondstep.Replica{}, false
+}
+
+func repickFrom(v *almondstep.View, w *Want, replicas []almondstep.Replica) (almondstep.Replica, bool) {
+	var chosen almondstep.Replica
+	var chosenTried bool
+	equals := uint64(0)
+	for _, r := range replicas {
+		tried, ok := w.allows(v, r)
+		if !ok {
+			continue
+		}
+		switch order := w.compare(v, r, tried, chosen, chosenTried); {
+		case equals == 0 || order < 0:
+			chosen, chosenTried, equals = r, tried, 1
+		case order == 0:
+			equals++
+			// Keep each of n equals with the chance 1/n.
+			if Mix(w.Hash+equals)%equals == 0 {
+				chosen, chosenTried = r, tried
+			}
+		}
+	}
+	return chosen, equals > 0
+}
+
+// allows says whether a replica may be asked, and whether its upstream was
+// tried before.
+func (w *Want) allows(v *almondstep.View, r almondstep.Replica) (tried, ok bool) {
+	if !Usable(v, r) || (w.WarmOnly && r.Temperature() != almondstep.Warm) {
+		return false, false
+	}
+	for _, t := range w.Tried {
+		sameUpstream := t.Upstream == r.Upstream()
+		sameOwner := t.Owner == r.Owner()
+		if sameUpstream && (sameOwner || w.OtherUpstream) {
+			return false, false
+		}
+		if sameOwner && w.OtherOwner {
+			return false, false
+		}
+		tried = tried || sameUpstream
+	}
+	return tried, true
+}
+
+func (w *Want) compare(v *almondstep.View, a almondstep.Replica, aTried bool, b almondstep.Replica, bTried bool) int {
+	if aTried != bTried {
+		if aTried {
+			return 1
+		}
+		return -1
+	}
+	return compare(v, a, b)
+}
+
+// Mix spreads the bits of x over the whole word (the finalizer of splitmix64).
+func Mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/querier/cancel.go
@@ -0,0 +1,64 @@
+package querier
+
+import "almondstep"
+
+// cancel is an item that is no longer wanted of an attempt.
+type cancel struct {
+	attempt almondstep.AttemptID
+	item    almondstep.Item
+}
+
+// stopOtherTries closes the tries that have lost; cancelLosers tells their
+// owners.
+func (q *Queries) stopOtherTries(qu *query, target int) {
+	sh := &qu.shards[target]
+	for i := range sh.count {
+		t := &sh.tries[i]
+		if !t.open {
+			continue
+		}
+		qu.closeTry(t)
+		at := &qu.attempts[t.attempt-1]
+		q.digestOf(qu.ask.service.Name()).Observe(q.now.Sub(at.sent))
+		q.scratch.cancels = append(q.scratch.cancels, cancel{attempt: t.attempt, item: at.items[t.item]})
+	}
+}
+
+// cancelLosers sends one message for each attempt with items that are no
+// longer wanted.
+func (q *Queries) cancelLosers(qu *query) {
+	s := &q.scratch
+	for len(s.cancels) > 0 {
+		id := s.cancels[0].attempt
+		items := make([]almondstep.Item, 0, len(s.cancels))
+		rest := s.cancels[:0]
+		for _, c := range s.cancels {
+			if c.attempt == id {
+				items = append(items, c.item)
+			} else {
+				rest = append(rest, c)
+			}
+		}
+		s.cancels = rest
+		q.emit(&almondstep.SendCancel{Owner: qu.attempts[id-1].owner, Query: qu.id, Attempt: id, Items: items})
+	}
+}
+
+// cancelAll cancels every attempt that is still open, and closes its tries.
+func (q *Queries) cancelAll(qu *query) {
+	for i := range qu.attempts {
+		at := &qu.attempts[i]
+		if at.open == 0 {
+			continue
+		}
+		qu.inFlight -= at.open
+		at.open = 0
+		q.emit(&almondstep.SendCancel{Owner: at.owner, Query: qu.id, Attempt: almondstep.AttemptID(i + 1)})
+	}
+}
+
+// callerGone ends a query without an answer.
+func (q *Queries) callerGone(qu *query) {
+	q.cancelAll(qu)
+	q.remove(qu)
+}
--- /dev/null
+++ b/querier/fleet_test.go
@@ -0,0 +1,138 @@
+package querier_test
+
+import (
+	"fmt"
+	"time"
+
+	"almondstep"
+)
+
+// fleet describes a view for tests: who serves which shards, through whom.
+type fleet struct {
+	Text        almondstep.CatalogText   `json:"text"`
+	Zone        almondstep.ZoneName      `json:"zone"`
+	Servers     []server                 `json:"servers"`
+	Quarantined []almondstep.Fingerprint `json:"quarantined,omitempty"`
+}
+
+// server is one upstream of a test fleet.
+type server struct {
+	Addr        almondstep.Address     `json:"addr"`
+	Service     almondstep.ServiceName `json:"service"`
+	Zone        almondstep.ZoneName    `json:"zone"`
+	Owner       almondstep.DaemonID    `json:"owner"`
+	Temperature string                 `json:"temperature,omitempty"`
+	Holdings    []almondstep.Holding   `json:"holdings"`
+}
+
+const self = almondstep.DaemonID("entry")
+
+// temperatures are the names that fleets use; the empty one is warm.
+var temperatures = map[string]almondstep.Temperature{
+	"":        almondstep.Warm,
+	"warm":    almondstep.Warm,
+	"cold":    almondstep.Cold,
+	"leaving": almondstep.Leaving,
+	"lost":    almondstep.Lost,
+}
+
+// placementKey is one version and partitioning of one service.
+type placementKey struct {
+	service almondstep.ServiceName
+	version almondstep.Version
+	of      uint32
+}
+
+// view makes the view that the control thread would make of the fleet.
+func (f *fleet) view() *almondstep.View {
+	catalog, err := almondstep.NewCatalog(f.Text)
+	if err != nil {
+		panic(err)
+	}
+	peers := map[almondstep.DaemonID]almondstep.Address{}
+	replicas := map[placementKey][][]almondstep.Replica{}
+	var keys []placementKey
+	for _, s := range f.Servers {
+		if s.Owner != "" && s.Owner != self {
+			peers[s.Owner] = almondstep.Address(s.Owner)
+		}
+		for _, h := range s.Holdings {
+			k := placementKey{service: s.Service, version: h.Version, of: h.Of}
+			if replicas[k] == nil {
+				replicas[k] = make([][]almondstep.Replica, h.Of)
+				keys = append(keys, k)
+			}
+			for _, shard := range h.Shards {
+				replicas[k][shard] = append(replicas[k][shard], f.replica(s))
+			}
+		}
+	}
+	placements := map[almondstep.ServiceName][]almondstep.Placement{}
+	for _, k := range keys {
+		placements[k.service] = append(placements[k.service], almondstep.NewPlacement(k.version, k.of, replicas[k]))
+	}
+	quarantined := map[almondstep.Fingerprint]struct{}{}
+	for _, q := range f.Quarantined {
+		quarantined[q] = struct{}{}
+	}
+	return almondstep.NewView(almondstep.ViewParts{
+		Self:        self,
+		Zone:        f.Zone,
+		Revision:    1,
+		Catalog:     catalog,
+		Placements:  placements,
+		Quarantined: quarantined,
+		Peers:       peers,
+	})
+}
+
+func (f *fleet) replica(s server) almondstep.Replica {
+	distance := time.Millisecond
+	if s.Zone != f.Zone {
+		distance = 20 * time.Millisecond
+	}
+	return almondstep.NewReplica(s.Addr, s.Zone, s.Owner, temperatures[s.Temperature], distance)
+}
+
+// deskText is an operators' text with one service, two classes and two tenants.
+func deskText() almondstep.CatalogText {
+	return almondstep.CatalogText{
+		Schemes: []almondstep.SchemeName{"plant"},
+		Zones:   []almondstep.ZoneText{{Name: "a"}, {Name: "b"}},
+		Classes: []almondstep.ClassText{
+			{Name: "urgent", SoftDeadline: "40ms", HardDeadline: "200ms", LeastCoverage: 0.5},
+			{Name: "routine", Priority: 1, HardDeadline: "400ms"},
+		},
+		Tenants: []almondstep.TenantText{
+			{Name: "growers", Share: 1, MaxOpen: 10_000},
+			{Name: "kitchens", Share: 1, MaxOpen: 10_000},
+		},
+		Services: []almondstep.ServiceText{{
+			Name:     "desk",
+			Names:    map[almondstep.SchemeName]string{"plant": "desk"},
+			DialTime: "6ms",
+			Operations: []almondstep.OperationText{
+				{Name: "enter"},
+				{Name: "touch", Idempotent: true},
+			},
+		}},
+	}
+}
+
+// deskFleet spreads the shards of one service over servers, copies times; the
+// copies of a shard have different owners.
+func deskFleet(shards, owners, copies int) *fleet {
+	f := &fleet{Text: deskText(), Zone: "a"}
+	for c := range copies {
+		for i := range shards {
+			f.Servers = append(f.Servers, server{
+				Addr:     almondstep.Address(fmt.Sprintf("s%d-%d", i, c)),
+				Service:  "desk",
+				Zone:     "a",
+				Owner:    almondstep.DaemonID(fmt.Sprintf("o%d", (i+c)%owners)),
+				Holdings: []almondstep.Holding{{Version: 7, Of: uint32(shards), Shards: []uint32{uint32(i)}}},
+			})
+		}
+	}
+	return f
+}
