Stand-in platform and its client

Cause: the tier needs the platform's key-value service, and tests need its failures. Change: standin/platform serves values with compare-and-swap, leases, watches and the list of VMs, with switches for outage, slowness, lost answers, silence and older data; storer is almondstep.Platform over it, through httpc on its own transport. httpc's breaker is off for the platform, since it goes on refusing for up to its window of ten seconds after an outage has ended.

--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,133 @@
+// Package platform is a small stand-in for the platform: its key-value service
+// and its list of VMs, over the HTTP form that docs/PROTOCOLS.md describes.
+//
+// It exists so that tests and the demo have a platform whose failures can be
+// switched on: an outage, slowness, lost answers, silence and older data. It
+// keeps everything in memory, in one process.
+//
+//	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+//	s := &platform.Server{Listener: ln}
+//	go s.Run(ctx)
+//	s.SetSwitches(platform.Switches{Outage: true})
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"almondstep"
+)
+
+// MaxValueBytes is the size of the largest value the service holds.
+const MaxValueBytes = 1 << 20
+
+// headerTimeout bounds the time a client takes to send its request header.
+const headerTimeout = 5 * time.Second
+
+// Server is a stand-in for the platform. Its fields are set before Run, or
+// before it is first used as an http.Handler.
+type Server struct {
+	// Listener is where Run serves; Run closes it.
+	Listener net.Listener
+	// Logger gets the changes of switches; nil logs nothing.
+	Logger hclog.Logger
+	// Now is the clock that leases are counted by; nil is time.Now.
+	Now func() time.Time
+
+	once  sync.Once
+	store *store
+	conns connNumbers
+	mux   *http.ServeMux
+
+	mu       sync.Mutex
+	switches Switches
+	// silentUpTo is the highest number of the connections that never answer again.
+	silentUpTo uint64
+	changed    chan struct{}
+	counts     Counts
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	s.init()
+	srv := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headerTimeout,
+		ConnContext:       s.conns.number,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	err := srv.Serve(s.Listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "stand-in platform")
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.init()
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		if s.Logger == nil {
+			s.Logger = hclog.NewNullLogger()
+		}
+		if s.Now == nil {
+			s.Now = time.Now
+		}
+		s.store = newStore()
+		s.changed = make(chan struct{})
+		s.counts = Counts{}
+		s.mux = http.NewServeMux()
+		s.route()
+	})
+}
+
+func (s *Server) route() {
+	s.mux.HandleFunc("GET /v1/kv", s.counted("get", s.get))
+	s.mux.HandleFunc("PUT /v1/kv", s.counted("put", s.put))
+	s.mux.HandleFunc("PUT /v1/lease", s.counted("lease", s.lease))
+	s.mux.HandleFunc("GET /v1/fleet", s.counted("fleet", s.fleet))
+	s.mux.HandleFunc("PUT /v1/fleet", s.putFleet)
+	s.mux.HandleFunc("GET /switches", s.getSwitches)
+	s.mux.HandleFunc("PUT /switches", s.putSwitches)
+	s.mux.HandleFunc("POST /rollback", s.rollback)
+	s.mux.HandleFunc("GET /counts", s.getCounts)
+}
+
+// SetFleet replaces the list of VMs and gives its new revision.
+func (s *Server) SetFleet(f almondstep.Fleet) almondstep.Revision {
+	s.init()
+	return s.store.setFleet(f)
+}
+
+// Fleet is the present list of VMs.
+func (s *Server) Fleet() almondstep.Fleet {
+	s.init()
+	f, _ := s.store.readFleet()
+	return f
+}
+
+// Entry reads a key without HTTP, whatever the switches say.
+func (s *Server) Entry(key string) almondstep.Entry {
+	s.init()
+	e, _ := s.store.read(key)
+	return e
+}
+
+// Rollback puts a key back by a number of writes, revision included, as a
+// platform restored from an older copy would. It says whether it could.
+func (s *Server) Rollback(key string, writes int) bool {
+	s.init()
+	return s.store.rollback(key, writes)
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,121 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"almondstep"
+)
+
+// historyLength is the number of earlier entries a key can be rolled back to.
+const historyLength = 8
+
+// store holds the values, the leases and the list of VMs. Each change closes
+// the changed channel of what changed, which wakes the watches.
+type store struct {
+	mu     sync.Mutex
+	values map[string]*value
+	leases map[string]lease
+	vms    almondstep.Fleet
+	vmsNew chan struct{}
+}
+
+type value struct {
+	entry   almondstep.Entry
+	history []almondstep.Entry
+	changed chan struct{}
+}
+
+type lease struct {
+	holder string
+	until  time.Time
+}
+
+func newStore() *store {
+	return &store{
+		values: map[string]*value{},
+		leases: map[string]lease{},
+		vmsNew: make(chan struct{}),
+	}
+}
+
+// read gives the entry and a channel that is closed at its next change.
+func (st *store) read(key string) (almondstep.Entry, <-chan struct{}) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	v := st.value(key)
+	return v.entry, v.changed
+}
+
+func (st *store) value(key string) *value {
+	v, ok := st.values[key]
+	if !ok {
+		v = &value{changed: make(chan struct{})}
+		st.values[key] = v
+	}
+	return v
+}
+
+// swap writes a key whose revision is still base. It gives the revision the
+// key has after, and whether it wrote.
+func (st *store) swap(key string, base uint64, body []byte) (uint64, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	v := st.value(key)
+	if v.entry.Revision != base {
+		return v.entry.Revision, false
+	}
+	v.history = append(v.history, v.entry)
+	if len(v.history) > historyLength {
+		v.history = v.history[1:]
+	}
+	v.set(almondstep.Entry{Revision: base + 1, Value: body})
+	return v.entry.Revision, true
+}
+
+func (v *value) set(e almondstep.Entry) {
+	v.entry = e
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (st *store) rollback(key string, writes int) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	v, ok := st.values[key]
+	if !ok || writes < 1 || writes > len(v.history) {
+		return false
+	}
+	at := len(v.history) - writes
+	v.set(v.history[at])
+	v.history = v.history[:at]
+	return true
+}
+
+// take takes or renews a lease. It says whether the holder has it.
+func (st *store) take(key, holder string, now time.Time, ttl time.Duration) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	l, ok := st.leases[key]
+	if ok && l.holder != holder && now.Before(l.until) {
+		return false
+	}
+	st.leases[key] = lease{holder: holder, until: now.Add(ttl)}
+	return true
+}
+
+func (st *store) readFleet() (almondstep.Fleet, <-chan struct{}) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.vms, st.vmsNew
+}
+
+func (st *store) setFleet(f almondstep.Fleet) almondstep.Revision {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	f.Revision = st.vms.Revision + 1
+	st.vms = f
+	close(st.vmsNew)
+	st.vmsNew = make(chan struct{})
+	return f.Revision
+}
--- /dev/null
+++ b/standin/platform/switches.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// maxSwitchBytes bounds a request to the switches.
+const maxSwitchBytes = 4 << 10
+
+// Switches are the failures that can be switched on. The zero value is a sound
+// platform.
+type Switches struct {
+	// Outage answers 503 to every call, waiting watches included; nothing takes effect.
+	Outage bool `json:"outage"`
+	// SlowMillis is a delay before each call takes effect, in milliseconds.
+	SlowMillis int `json:"slowMillis"`
+	// LostAnswers lets writes and leases take effect and then drops the connection.
+	LostAnswers bool `json:"lostAnswers"`
+	// Silent takes calls and never answers them; nothing takes effect.
+	Silent bool `json:"silent"`
+	// SilentOpen makes the connections that are open when it is set silent for
+	// good. New ones work.
+	SilentOpen bool `json:"silentOpen"`
+}
+
+// Counts has the number of calls by kind: get, put, lease, fleet.
+type Counts map[string]int
+
+// SetSwitches replaces the switches.
+func (s *Server) SetSwitches(sw Switches) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sw.SilentOpen {
+		s.silentUpTo = s.conns.last.Load()
+	}
+	s.switches = sw
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.Logger.Info("switches set", "outage", sw.Outage, "slowMillis", sw.SlowMillis,
+		"lostAnswers", sw.LostAnswers, "silent", sw.Silent, "silentOpen", sw.SilentOpen)
+}
+
+// Switches gives the present switches.
+func (s *Server) Switches() Switches {
+	s.init()
+	sw, _ := s.state()
+	return sw
+}
+
+// Counts gives the number of calls so far, by kind.
+func (s *Server) Counts() Counts {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.counts)
+}
+
+func (s *Server) state() (Switches, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.switches, s.changed
+}
+
+// counted counts a call, however it ends.
+func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.counts[kind]++
+		s.mu.Unlock()
+		h(w, r)
+	}
+}
+
+// pause waits for a change of what is watched. It says whether to look again;
+// if not, the time is up, or the switches now forbid an answer.
+func (s *Server) pause(r *http.Request, changed <-chan struct{}, timeout <-chan time.Time) bool {
+	sw, switched := s.state()
+	if sw.Outage || sw.Silent {
+		return false
+	}
+	select {
+	case <-changed:
+		return true
+	case <-switched:
+		return true
+	case <-timeout:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// mayAnswer applies outage, slowness and silence to a call that is about to
+// take effect. It says whether the call goes on.
+func (s *Server) mayAnswer(w http.ResponseWriter, r *http.Request) bool {
+	sw, _ := s.state()
+	if sw.SlowMillis > 0 {
+		select {
+		case <-time.After(time.Duration(sw.SlowMillis) * time.Millisecond):
+		case <-r.Context().Done():
+			return false
+		}
+		sw, _ = s.state()
+	}
+	if sw.Silent || s.connSilent(r) {
+		<-r.Context().Done()
+		return false
+	}
+	if sw.Outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// dropLostAnswer closes the connection of a write that has taken effect.
+func (s *Server) dropLostAnswer() {
+	if sw, _ := s.state(); sw.LostAnswers {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) connSilent(r *http.Request) bool {
+	n, ok := r.Context().Value(connKey{}).(uint64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ok && n <= s.silentUpTo
+}
+
+func (s *Server) getSwitches(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Switches())
+}
+
+func (s *Server) putSwitches(w http.ResponseWriter, r *http.Request) {
+	var sw Switches
+	if readJSON(w, r, maxSwitchBytes, &sw) {
+		s.SetSwitches(sw)
+	}
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Counts())
+}
+
+func (s *Server) rollback(w http.ResponseWriter, r *http.Request) {
+	writes, err := strconv.Atoi(r.URL.Query().Get("writes"))
+	if err != nil || !s.Rollback(r.URL.Query().Get("key"), writes) {
+		http.Error(w, "no such key, or not so many writes to take back", http.StatusBadRequest)
+	}
+}
+
+type connKey struct{}
+
+// connNumbers numbers the connections in the order they were accepted, from 1.
+type connNumbers struct{ last atomic.Uint64 }
+
+func (n *connNumbers) number(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, n.last.Add(1))
+}
--- /dev/null
+++ b/storer/calls.go
@@ -0,0 +1,133 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+)
+
+const (
+	pathKV    = "/v1/kv"
+	pathLease = "/v1/lease"
+	pathFleet = "/v1/fleet"
+)
+
+// Get reads a key. An absent key has revision 0 and no error.
+func (c *Client) Get(ctx context.Context, key string) (almondstep.Entry, error) {
+	c.init()
+	q := request{method: http.MethodGet, path: pathKV, query: url.Values{"key": {key}}}
+	return c.read(ctx, "get", c.Timeout, q)
+}
+
+// Watch waits until the key's revision is above after, at most wait, and
+// returns what is there then. A connection that stays silent beyond the wait
+// and the grace is dropped, and ErrUnavailable returned.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (almondstep.Entry, error) {
+	c.init()
+	q := request{method: http.MethodGet, path: pathKV, query: waiting(after, wait)}
+	q.query.Set("key", key)
+	return c.read(ctx, "watch", wait+c.Grace, q)
+}
+
+func (c *Client) read(ctx context.Context, kind string, timeout time.Duration, q request) (almondstep.Entry, error) {
+	a, err := c.do(ctx, kind, timeout, q)
+	if err != nil {
+		return almondstep.Entry{}, err
+	}
+	if a.status != http.StatusOK && a.status != http.StatusNotFound {
+		return almondstep.Entry{}, a.unexpected()
+	}
+	revision, err := a.revision()
+	if err != nil {
+		return almondstep.Entry{}, err
+	}
+	if (a.status == http.StatusNotFound) != (revision == 0) {
+		return almondstep.Entry{}, errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d with revision %d", a.status, revision)
+	}
+	if revision == 0 {
+		return almondstep.Entry{}, nil
+	}
+	return almondstep.Entry{Revision: revision, Value: a.body}, nil
+}
+
+// CompareAndSwap writes a key whose revision is still base, 0 for an absent
+// key, and returns the new revision. After ErrConflict nothing was written;
+// after ErrUnavailable it may have been.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, base uint64, value []byte) (uint64, error) {
+	c.init()
+	q := request{method: http.MethodPut, path: pathKV, body: value, query: url.Values{
+		"key":  {key},
+		"base": {strconv.FormatUint(base, 10)},
+	}}
+	a, err := c.do(ctx, "swap", c.Timeout, q)
+	if err != nil {
+		return 0, err
+	}
+	switch a.status {
+	case http.StatusOK:
+		return a.revision()
+	case http.StatusConflict:
+		// A conflict without a revision is some other program's.
+		if _, err := a.revision(); err != nil {
+			return 0, err
+		}
+		return 0, errors.Wrapf(almondstep.ErrConflict, "key %q is no longer at revision %d", key, base)
+	default:
+		return 0, a.unexpected()
+	}
+}
+
+// Lease takes or renews a lease for ttl. The ttl counts from some moment
+// between the call and its return, so the caller counts it from the call.
+func (c *Client) Lease(ctx context.Context, key, holder string, ttl time.Duration) error {
+	c.init()
+	q := request{method: http.MethodPut, path: pathLease, query: url.Values{
+		"key":       {key},
+		"holder":    {holder},
+		"ttlMillis": {strconv.FormatInt(ttl.Milliseconds(), 10)},
+	}}
+	a, err := c.do(ctx, "lease", c.Timeout, q)
+	if err != nil {
+		return err
+	}
+	switch a.status {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return errors.Wrapf(almondstep.ErrConflict, "lease %q has another holder", key)
+	default:
+		return a.unexpected()
+	}
+}
+
+// Fleet reads the list of VMs, waiting like Watch if wait is above 0.
+func (c *Client) Fleet(ctx context.Context, after almondstep.Revision, wait time.Duration) (almondstep.Fleet, error) {
+	c.init()
+	q := request{method: http.MethodGet, path: pathFleet, query: waiting(uint64(after), wait)}
+	a, err := c.do(ctx, "fleet", wait+c.Grace, q)
+	if err != nil {
+		return almondstep.Fleet{}, err
+	}
+	if a.status != http.StatusOK {
+		return almondstep.Fleet{}, a.unexpected()
+	}
+	var f almondstep.Fleet
+	if err := json.Unmarshal(a.body, &f); err != nil {
+		return almondstep.Fleet{}, errors.Wrapf(almondstep.ErrUnavailable, "list of VMs: %v", err)
+	}
+	return f, nil
+}
+
+func waiting(after uint64, wait time.Duration) url.Values {
+	return url.Values{
+		"after":      {strconv.FormatUint(after, 10)},
+		"waitMillis": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+}
--- /dev/null
+++ b/storer/client.go
@@ -0,0 +1,101 @@
+// Package storer is the client of the platform's key-value service and list of
+// VMs, over the HTTP form that docs/PROTOCOLS.md describes.
+//
+// Its care is for what a failed call may mean. A write whose answer is lost may
+// have taken effect, so every failure is ErrUnavailable, and ErrConflict is
+// returned only when the platform itself says so. Every call is bounded in
+// time, a watch by its wait and a grace, so that a connection that has gone
+// silent can't hold it for good.
+//
+//	c := &storer.Client{Base: "http://127.0.0.1:7001"}
+//	e, err := c.Get(ctx, "config")
+//	_, err = c.CompareAndSwap(ctx, "config", e.Revision, text)
+//	if errors.Is(err, almondstep.ErrUnavailable) {
+//		// It may have been written: read it back.
+//	}
+package storer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"almondstep"
+)
+
+const (
+	// DefaultTimeout bounds a call other than a watch.
+	DefaultTimeout = 2 * time.Second
+	// DefaultGrace is how long a watch may take beyond its wait.
+	DefaultGrace = 2 * time.Second
+
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	maxConns        = 16
+	serviceName     = "platform"
+)
+
+// Client is an almondstep.Platform. Its fields are set before its first call.
+type Client struct {
+	// Base is the platform's URL, such as http://127.0.0.1:7001.
+	Base string
+	// Timeout bounds a call other than a watch; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Grace is how long a watch may take beyond its wait; 0 means DefaultGrace.
+	Grace time.Duration
+	// Recorder counts the calls; nil counts nothing.
+	Recorder almondstep.Recorder
+
+	once      sync.Once
+	transport *http.Transport
+	service   httpc.Service
+}
+
+var _ almondstep.Platform = (*Client)(nil)
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		if c.Timeout == 0 {
+			c.Timeout = DefaultTimeout
+		}
+		if c.Grace == 0 {
+			c.Grace = DefaultGrace
+		}
+		c.transport = newTransport()
+		client := &http.Client{
+			Transport:     c.transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+		// httpc's breaker goes on refusing for up to ten seconds after an
+		// outage has ended, longer than an edit may take to be in force.
+		breaker.NoBreakerFor(serviceName)
+		c.service = httpc.NewServiceWithClient(serviceName, client)
+	})
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.init()
+	c.transport.CloseIdleConnections()
+}
+
+// do sends one request and reads the answer's body, all within the timeout.
+// After a failure the idle connections are dropped: whatever has cut or
+// silenced one has likely done so to the others.
+func (c *Client) do(ctx context.Context, kind string, timeout time.Duration, req request) (answer, error) {
+	c.init()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := c.exchange(ctx, req)
+	if err != nil {
+		c.transport.CloseIdleConnections()
+	}
+	if c.Recorder != nil {
+		c.Recorder.PlatformCalled(kind, err)
+	}
+	return a, err
+}
