--- a/storer/exchange.go
+++ b/storer/exchange.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.method, q.path), almondstep.ErrUnavailable)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	read, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.method, q.path), almondstep.ErrUnavailable)
