--- /dev/null
+++ b/dialer/attempt.go
@@ -0,0 +1,181 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"almondstep"
+)
+
+// The headers of the HTTP form.
+const (
+	headerBoot          = "Almondstep-Boot"
+	headerLeaving       = "Almondstep-Leaving"
+	headerCold          = "Almondstep-Cold"
+	headerNotRun        = "Almondstep-Not-Run"
+	headerTimeoutMillis = "Almondstep-Timeout-Millis"
+)
+
+const callPath = "/v1/call"
+
+// freshFor is how long an unused connection counts as fresh.
+const freshFor = time.Second
+
+// attempt is one request on its way.
+type attempt struct {
+	pool   *pool
+	start  *almondstep.StartAttempt
+	ended  *almondstep.AttemptEnded
+	began  time.Time
+	cancel context.CancelFunc
+	// conn is the connection the request went out on; nil before it has one.
+	conn atomic.Pointer[conn]
+	// writtenBefore is what the connection had carried before the request.
+	writtenBefore int64
+	// reused says that the connection was used before.
+	reused bool
+	// silent says that the request was given up because its connection had
+	// gone silent.
+	silent atomic.Bool
+}
+
+// do sends the request and fills in how it ended.
+func (p *pool) do(parent context.Context, a *almondstep.StartAttempt, ended *almondstep.AttemptEnded) {
+	defer p.done()
+	ctx, cancel := context.WithTimeout(parent, a.Timeout)
+	defer cancel()
+	t := &attempt{pool: p, start: a, ended: ended, began: time.Now(), cancel: cancel}
+	if a.Idempotent {
+		watch := time.AfterFunc(p.overdue(), func() { p.prove(t) })
+		defer watch.Stop()
+	}
+	resp, err := t.send(ctx)
+	if err != nil {
+		ended.Result = t.failure(parent, ctx)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := t.decode(resp); err != nil {
+		ended.Result = t.failure(parent, ctx)
+		return
+	}
+	if ended.Result == almondstep.CallDone {
+		p.answered(time.Since(t.began))
+	}
+}
+
+func (t *attempt) send(ctx context.Context) (*http.Response, error) {
+	body := encodeCall(t.start)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	url := "http://" + string(t.start.Addr) + callPath
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, oneWay{bytes.NewReader(body)})
+	if err != nil {
+		return nil, err
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(headerTimeoutMillis, strconv.FormatInt(t.start.Timeout.Milliseconds(), 10))
+	if t.start.Idempotent {
+		return t.pool.shared.RoundTrip(r)
+	}
+	return t.pool.fresh.RoundTrip(r)
+}
+
+func (t *attempt) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	t.writtenBefore = c.written.Load()
+	t.reused = info.Reused || time.Since(c.opened) > freshFor
+	t.conn.Store(c)
+}
+
+// written says that the upstream may have read some of the request.
+func (t *attempt) written() bool {
+	c := t.conn.Load()
+	return c != nil && c.written.Load() > t.writtenBefore
+}
+
+// failure says how a request without a whole answer ended. What was not
+// written can't have run.
+func (t *attempt) failure(parent, ctx context.Context) almondstep.CallResult {
+	switch {
+	case parent.Err() != nil:
+		return almondstep.CallCanceled
+	case !t.written():
+		return almondstep.CallRefused
+	case t.silent.Load(), ctx.Err() != nil:
+		return almondstep.CallTimeout
+	default:
+		return almondstep.CallBroken
+	}
+}
+
+// decode reads the whole answer. It returns an error if the connection broke
+// before its end.
+func (t *attempt) decode(resp *http.Response) error {
+	e := t.ended
+	e.Boot = almondstep.BootID(resp.Header.Get(headerBoot))
+	e.Leaving = resp.Header.Get(headerLeaving) != ""
+	e.Cold = resp.Header.Get(headerCold) != ""
+	limit := t.pool.client.MaxAnswerBytes
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	e.Result = resultOf(resp)
+	if e.Result == almondstep.CallRejected || e.Result == almondstep.CallShed {
+		return nil
+	}
+	if int64(len(body)) > limit {
+		e.Result = almondstep.CallRejected
+		return nil
+	}
+	t.fill(body)
+	return nil
+}
+
+// resultOf maps a status to a result. Only the upstream's own mark says that a
+// request has not run.
+func resultOf(resp *http.Response) almondstep.CallResult {
+	notRun := resp.Header.Get(headerNotRun) != ""
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return almondstep.CallDone
+	case resp.StatusCode == http.StatusConflict && notRun:
+		return almondstep.CallWrongVersion
+	case notRun:
+		return almondstep.CallShed
+	case resp.StatusCode == http.StatusGatewayTimeout:
+		return almondstep.CallTimeout
+	default:
+		return almondstep.CallRejected
+	}
+}
+
+// fill takes the answer's content over, if it is of the version asked for.
+func (t *attempt) fill(body []byte) {
+	e := t.ended
+	answer, err := decodeAnswer(body, t.start.Limit)
+	if err != nil {
+		if e.Result == almondstep.CallDone {
+			e.Result = almondstep.CallRejected
+		}
+		return
+	}
+	e.Version = answer.Version
+	if e.Result == almondstep.CallDone && answer.Version != t.start.Version {
+		e.Result = almondstep.CallWrongVersion
+	}
+	if e.Result == almondstep.CallDone {
+		e.Total = answer.Total
+		e.Records = answer.Records
+	}
+}
--- /dev/null
+++ b/dialer/client.go
@@ -0,0 +1,158 @@
+// Package dialer sends requests to upstreams, over the HTTP form that
+// docs/PROTOCOLS.md describes, and says truthfully how each ended.
+//
+// It has a pool of connections for each upstream, within the number that the
+// upstream accepts. It never sends a request twice: whether to try again is the
+// reducer's decision. Open connections can go silent for good while new ones
+// work, so a request that is overdue on a used connection starts a proof on a
+// fresh one; if that answers, the silent connection and those not heard from
+// since are closed. A request that isn't idempotent always gets a fresh
+// connection.
+//
+//	c := &dialer.Client{}
+//	ended := c.Do(ctx, &almondstep.StartAttempt{
+//		Addr: "127.0.0.1:7101", Shard: shard, Version: 7, Text: "walnut",
+//		Limit: 10, Idempotent: true, Timeout: 40 * time.Millisecond, Connections: 12,
+//	})
+//	if ended.Result == almondstep.CallShed {
+//		// It has not run.
+//	}
+//
+// The calls don't go through httpc: it writes a log line for each failed call
+// and its breaker would hide a cold upstream's recovery.
+package dialer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"almondstep"
+)
+
+const (
+	// DefaultDialTimeout bounds the opening of a connection.
+	DefaultDialTimeout = 500 * time.Millisecond
+	// DefaultOverdue is the least time after which a request counts as overdue.
+	DefaultOverdue = 100 * time.Millisecond
+	// DefaultEvictAfter is how long an unused upstream's pool is kept.
+	DefaultEvictAfter = 5 * time.Minute
+	// DefaultDialEvery is the time between two dials to one upstream, once the
+	// burst is used up.
+	DefaultDialEvery = 10 * time.Millisecond
+	// DefaultMaxAnswerBytes bounds an answer.
+	DefaultMaxAnswerBytes = 8 << 20
+)
+
+// Client is an almondstep.UpstreamClient. Its fields are set before its first
+// call; the zero value has the defaults.
+type Client struct {
+	DialTimeout    time.Duration
+	Overdue        time.Duration
+	EvictAfter     time.Duration
+	DialEvery      time.Duration
+	MaxAnswerBytes int64
+	// Logger gets the connections found silent; nil logs nothing.
+	Logger hclog.Logger
+
+	once    sync.Once
+	mu      sync.Mutex
+	pools   map[almondstep.Address]*pool
+	swept   time.Time
+	stopped bool
+}
+
+var _ almondstep.UpstreamClient = (*Client)(nil)
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		c.DialTimeout = orDefault(c.DialTimeout, DefaultDialTimeout)
+		c.Overdue = orDefault(c.Overdue, DefaultOverdue)
+		c.EvictAfter = orDefault(c.EvictAfter, DefaultEvictAfter)
+		c.DialEvery = orDefault(c.DialEvery, DefaultDialEvery)
+		if c.MaxAnswerBytes == 0 {
+			c.MaxAnswerBytes = DefaultMaxAnswerBytes
+		}
+		if c.Logger == nil {
+			c.Logger = hclog.NewNullLogger()
+		}
+		c.pools = map[almondstep.Address]*pool{}
+		c.swept = time.Now()
+	})
+}
+
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return d
+}
+
+// Do sends one request and waits until it has ended, been canceled through ctx,
+// or timed out.
+func (c *Client) Do(ctx context.Context, a *almondstep.StartAttempt) *almondstep.AttemptEnded {
+	c.init()
+	began := time.Now()
+	ended := &almondstep.AttemptEnded{Addr: a.Addr, Call: a.Call, Result: almondstep.CallRefused}
+	if p := c.pool(a, began); p != nil {
+		p.do(ctx, a, ended)
+	}
+	ended.Took = time.Since(began)
+	return ended
+}
+
+// Pools is the number of upstreams a pool is kept for.
+func (c *Client) Pools() int {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pools)
+}
+
+// Close closes the idle connections; later requests are refused.
+func (c *Client) Close() {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, p := range c.pools {
+		p.close()
+	}
+	clear(c.pools)
+}
+
+// pool finds or makes the upstream's pool; nil after Close.
+func (c *Client) pool(a *almondstep.StartAttempt, now time.Time) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return nil
+	}
+	c.sweep(now)
+	p, ok := c.pools[a.Addr]
+	if !ok || p.connections != a.Connections && p.idle() {
+		if ok {
+			p.close()
+		}
+		p = newPool(c, a.Addr, a.Connections)
+		c.pools[a.Addr] = p
+	}
+	p.use(now)
+	return p
+}
+
+// sweep evicts the pools that were not used for a while. The caller holds mu.
+func (c *Client) sweep(now time.Time) {
+	if now.Sub(c.swept) < c.EvictAfter/2 {
+		return
+	}
+	c.swept = now
+	for addr, p := range c.pools {
+		if p.unusedSince(now.Add(-c.EvictAfter)) {
+			p.close()
+			delete(c.pools, addr)
+		}
+	}
+}
--- /dev/null
+++ b/dialer/conn.go
@@ -0,0 +1,103 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// conn is a connection that knows when the upstream was last heard on it and
+// how much was written to it.
+type conn struct {
+	net.Conn
+	pool    *pool
+	opened  time.Time
+	heard   atomic.Int64
+	written atomic.Int64
+	once    sync.Once
+}
+
+// Read notes that the upstream was heard.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Write counts the bytes that may have reached the upstream. They count from
+// before the write, so that a request given up meanwhile isn't taken for one
+// that was never sent.
+func (c *conn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n - len(b)))
+	return n, err
+}
+
+// Close gives the permit back.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.pool.mu.Lock()
+		delete(c.pool.open, c)
+		c.pool.mu.Unlock()
+		<-c.pool.permits
+	})
+	return err
+}
+
+// dialLimit allows a burst of dials and then one every so often.
+type dialLimit struct {
+	every time.Duration
+	burst int
+
+	mu sync.Mutex
+	// next is when the burst would be used up, were there no more dials.
+	next time.Time
+}
+
+// wait returns when the next dial may begin.
+func (l *dialLimit) wait(ctx context.Context) error {
+	d := l.reserve(time.Now())
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// reserve books a dial and gives the time until it may begin.
+func (l *dialLimit) reserve(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.next.Before(now) {
+		l.next = now
+	}
+	d := l.next.Sub(now) - time.Duration(l.burst-1)*l.every
+	l.next = l.next.Add(l.every)
+	return d
+}
+
+// latency is a running mean of how long answers take.
+type latency struct{ mean time.Duration }
+
+// meanWeight is the weight of the mean against one new answer.
+const meanWeight = 8
+
+func (l *latency) add(d time.Duration) {
+	if l.mean == 0 {
+		l.mean = d
+		return
+	}
+	l.mean += (d - l.mean) / meanWeight
+}
