Claimer: at-most-once claims in batches by compare-and-swap

Cause: a request that isn't idempotent may be sent again through another daemon, and the daemons keep nothing. Change: claims of one minute and bucket are one value at the platform, written in batches at most every 100 ms per bucket; the holder written with each key tells a lost answer from a lost race; a value holding a later minute refuses the keys of the earlier one, so clocks can't cause a second grant. Ruled out: one value per bucket for the whole window, which each batch would write whole, ten minutes of claims ten times a second.

--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,158 @@
+package claimer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"almondstep"
+)
+
+// queueLength bounds the claims that wait to be taken in by a bucket. More are
+// refused at once.
+const queueLength = 1024
+
+// Claimer is an almondstep.Claimer. Its fields are set before Run.
+type Claimer struct {
+	Platform almondstep.Platform
+	// Logger gets the failures of the platform; nil logs nothing.
+	Logger hclog.Logger
+	// Now is the wall clock that keys are checked by; nil is time.Now.
+	Now func() time.Time
+
+	once   sync.Once
+	start  time.Time
+	queues [Buckets]chan *claim
+	done   chan struct{}
+}
+
+var _ almondstep.Claimer = (*Claimer)(nil)
+
+func (c *Claimer) init() {
+	c.once.Do(func() {
+		if c.Logger == nil {
+			c.Logger = hclog.NewNullLogger()
+		}
+		if c.Now == nil {
+			c.Now = time.Now
+		}
+		c.start = time.Now()
+		c.done = make(chan struct{})
+		for i := range c.queues {
+			c.queues[i] = make(chan *claim, queueLength)
+		}
+	})
+}
+
+// Run serves the buckets until the context ends. Claims that wait then are
+// unavailable.
+func (c *Claimer) Run(ctx context.Context) {
+	c.init()
+	var wg sync.WaitGroup
+	for i := range c.queues {
+		wg.Go(func() {
+			d := &driver{claimer: c, index: i, queue: c.queues[i]}
+			d.run(ctx)
+		})
+	}
+	wg.Wait()
+	close(c.done)
+}
+
+// Claim waits for the outcome of a claim. A key that is malformed, expired or
+// from the future counts as taken: an earlier request with it may have run.
+func (c *Claimer) Claim(ctx context.Context, k *almondstep.ClaimKey) almondstep.ClaimOutcome {
+	c.init()
+	key, err := ParseKey(k.Key)
+	if err != nil || key.Check(c.Now()) != nil {
+		return almondstep.ClaimTaken
+	}
+	waiting := &claim{
+		key:      key,
+		holder:   k.ID,
+		deadline: c.instant().Add(k.Remaining),
+		outcome:  make(chan almondstep.ClaimOutcome, 1),
+	}
+	select {
+	case c.queues[key.Bucket()] <- waiting:
+	default:
+		return almondstep.ClaimUnavailable
+	}
+	select {
+	case o := <-waiting.outcome:
+		return o
+	case <-ctx.Done():
+	case <-c.done:
+	}
+	return almondstep.ClaimUnavailable
+}
+
+func (c *Claimer) instant() almondstep.Instant {
+	return almondstep.Instant(time.Since(c.start))
+}
+
+// driver performs the steps of one bucket.
+type driver struct {
+	claimer *Claimer
+	index   int
+	queue   chan *claim
+	bucket  bucket
+}
+
+func (d *driver) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.takeIn()
+		s := d.bucket.next(d.claimer.instant())
+		switch s.kind {
+		case stepNone:
+			d.wait(ctx, nil)
+		case stepWait:
+			t := time.NewTimer(s.until.Sub(d.claimer.instant()))
+			d.wait(ctx, t.C)
+			t.Stop()
+		case stepRead:
+			d.read(ctx, s)
+		case stepWrite:
+			d.write(ctx, s)
+		}
+	}
+}
+
+// takeIn moves the queued claims into the bucket, as far as it has room.
+func (d *driver) takeIn() {
+	for len(d.bucket.pending) < queueLength {
+		select {
+		case c := <-d.queue:
+			d.bucket.add(c)
+		default:
+			return
+		}
+	}
+}
+
+func (d *driver) wait(ctx context.Context, due <-chan time.Time) {
+	select {
+	case c := <-d.queue:
+		d.bucket.add(c)
+	case <-due:
+	case <-ctx.Done():
+	}
+}
+
+func (d *driver) read(ctx context.Context, s step) {
+	e, err := d.claimer.Platform.Get(ctx, valueKey(d.index, s.slice))
+	if err := d.bucket.readDone(d.claimer.instant(), s, e, err); err != nil {
+		d.claimer.Logger.Warn("claims not read", "bucket", d.index, "err", err)
+	}
+}
+
+func (d *driver) write(ctx context.Context, s step) {
+	revision, err := d.claimer.Platform.CompareAndSwap(ctx, valueKey(d.index, s.slice), s.base, s.body)
+	d.bucket.writeDone(s, revision, err)
+	if err != nil && !errors.Is(err, almondstep.ErrConflict) {
+		d.claimer.Logger.Warn("claims not written", "bucket", d.index, "err", err)
+	}
+}
