recorder: bounded metrics by tenant, class and service, and their page

Cause: operators need histograms per tenant and class without an unbounded number of label values, and a page that can't drift from the code.

Tenants and classes that the text doesn't name are counted as "other".

Left: the cold allowance and the age of the digests are not in the view, so they are not shown yet.

--- a/message_upstream.go
+++ b/message_upstream.go
@@ -98,6 +98,24 @@
 	CallWrongVersion
 )
 
+// String names the result as metrics and logs show it.
+func (r CallResult) String() string {
+	names := [...]string{
+		CallDone:         "done",
+		CallShed:         "shed",
+		CallRefused:      "refused",
+		CallBroken:       "broken",
+		CallTimeout:      "timeout",
+		CallCanceled:     "canceled",
+		CallRejected:     "rejected",
+		CallWrongVersion: "wrongVersion",
+	}
+	if int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // UpstreamTimer is a timer of an upstream that has come due.
 type UpstreamTimer struct {
 	Addr Address   `json:"addr"`
--- /dev/null
+++ b/recorder/gauges.go
@@ -0,0 +1,57 @@
+package recorder
+
+import "almondstep"
+
+// addGauges registers the values that are read from the newest view when the
+// metrics are written.
+func (r *Recorder) addGauges() {
+	r.gauge(revision, func(v *almondstep.View) float64 { return float64(v.Revision()) })
+	r.gauge(ready, readiness)
+	r.gauge(knownDaemons, func(v *almondstep.View) float64 { return float64(len(v.Peers())) })
+	r.gauge(quarantined, func(v *almondstep.View) float64 { return float64(v.Status().Quarantined) })
+	for _, t := range []almondstep.Temperature{almondstep.Cold, almondstep.Warm, almondstep.Leaving, almondstep.Lost} {
+		r.gauge(labeled(ownedUpstreams, "temperature", t.String()), func(v *almondstep.View) float64 {
+			return countOwned(v, func(o almondstep.OwnedUpstream) bool { return o.Temperature() == t })
+		})
+	}
+	for grant, name := range grantNames {
+		r.gauge(labeled(grantedUpstreams, "grant", name), func(v *almondstep.View) float64 {
+			return countOwned(v, func(o almondstep.OwnedUpstream) bool { return int(o.Grant()) == grant })
+		})
+	}
+}
+
+// grantNames are the label values of the grants, in the order of their values.
+var grantNames = [...]string{
+	almondstep.GrantNone:     "none",
+	almondstep.GrantWarmOnly: "warmOnly",
+	almondstep.GrantFull:     "full",
+}
+
+// gauge is 0 until there is a view.
+func (r *Recorder) gauge(name string, read func(*almondstep.View) float64) {
+	r.set.NewGauge(name, func() float64 {
+		v := r.view.Load()
+		if v == nil {
+			return 0
+		}
+		return read(v)
+	})
+}
+
+func readiness(v *almondstep.View) float64 {
+	if v.Ready() {
+		return 1
+	}
+	return 0
+}
+
+func countOwned(v *almondstep.View, counts func(almondstep.OwnedUpstream) bool) float64 {
+	n := 0
+	for _, o := range v.OwnedAll() {
+		if counts(o) {
+			n++
+		}
+	}
+	return float64(n)
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,185 @@
+// Package recorder counts what a daemon does, for operators.
+//
+// It stands apart so that nothing else depends on the metrics library. All
+// metrics are in one table, from which docs/METRICS.md is made. Label values
+// are bounded: a tenant that the operators' text doesn't name, or one too many,
+// is counted as "other".
+//
+// A worked example: two complete answers of the tenant toasters, class urgent, show as
+//
+//	almondstep_answers_total{tenant="toasters",class="urgent",outcome="complete"} 2
+package recorder
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+)
+
+// Recorder keeps the metrics of one daemon. It is safe for use by several
+// threads at once.
+type Recorder struct {
+	set  *metrics.Set
+	view atomic.Pointer[almondstep.View]
+
+	tenants  labels
+	services labels
+	kinds    labels
+
+	callers   cache[callerKey, *callerMetrics]
+	outcomes  cache[outcomeKey, *metrics.Counter]
+	codes     cache[almondstep.RefusalCode, *metrics.Counter]
+	upstreams cache[almondstep.ServiceName, *upstreamMetrics]
+	control   cache[string, *controlMetrics]
+	platform  cache[platformKey, *metrics.Counter]
+}
+
+// callerKey is a tenant and a class.
+type callerKey struct {
+	tenant almondstep.TenantName
+	class  almondstep.ClassName
+}
+
+type callerMetrics struct {
+	seconds  *metrics.Histogram
+	coverage *metrics.Histogram
+	attempts *metrics.Counter
+	needed   *metrics.Counter
+	extra    *metrics.Counter
+}
+
+type outcomeKey struct {
+	caller  callerKey
+	outcome almondstep.Outcome
+}
+
+// callResults is the number of ways a call to an upstream can end.
+const callResults = int(almondstep.CallWrongVersion) + 1
+
+type upstreamMetrics struct {
+	calls   [callResults]*metrics.Counter
+	seconds *metrics.Histogram
+}
+
+type controlMetrics struct {
+	messages *metrics.Counter
+	bytes    *metrics.Counter
+}
+
+type platformKey struct {
+	kind   string
+	result string
+}
+
+// The most values of each label; further ones are counted as "other".
+const (
+	tenantLimit  = 64
+	classLimit   = 16
+	serviceLimit = 64
+	kindLimit    = 32
+)
+
+// New makes a Recorder.
+func New() *Recorder {
+	r := &Recorder{set: metrics.NewSet()}
+	r.tenants.limit = tenantLimit * classLimit
+	r.services.limit = serviceLimit
+	r.kinds.limit = kindLimit
+	r.addGauges()
+	return r
+}
+
+// WritePrometheus writes all metrics in Prometheus text form.
+func (r *Recorder) WritePrometheus(w io.Writer) {
+	r.set.WritePrometheus(w)
+}
+
+// Answered counts a query's outcome, time and coverage.
+func (r *Recorder) Answered(t almondstep.TenantName, c almondstep.ClassName, a *almondstep.Answer) {
+	k := r.caller(t, c)
+	m := r.callers.get(k, r.newCaller)
+	m.seconds.Update(a.Took.Seconds())
+	m.attempts.Add(a.Attempts)
+	m.needed.Add(a.Needed)
+	m.extra.Add(max(0, a.Attempts-a.Needed))
+	if a.Coverage.Wanted > 0 {
+		m.coverage.Update(float64(a.Coverage.Included) / float64(a.Coverage.Wanted))
+	}
+	r.outcomes.get(outcomeKey{caller: k, outcome: a.Outcome}, r.newOutcome).Inc()
+	if a.Code != "" {
+		r.codes.get(a.Code, r.newCode).Inc()
+	}
+}
+
+// caller gives the labels of a tenant and class; names that the operators' text
+// doesn't have come from callers, and could be any number.
+func (r *Recorder) caller(t almondstep.TenantName, c almondstep.ClassName) callerKey {
+	other := callerKey{tenant: otherLabel, class: otherLabel}
+	v := r.view.Load()
+	if v == nil || v.Catalog() == nil {
+		return other
+	}
+	if _, ok := v.Catalog().Tenant(t); !ok {
+		return other
+	}
+	if _, ok := v.Catalog().Class(c); !ok {
+		return other
+	}
+	if !r.tenants.admit(string(t) + "\x00" + string(c)) {
+		return other
+	}
+	return callerKey{tenant: t, class: c}
+}
+
+// Attempted counts a call to an upstream.
+func (r *Recorder) Attempted(s almondstep.ServiceName, result almondstep.CallResult, took time.Duration) {
+	if !r.services.admit(string(s)) {
+		s = otherLabel
+	}
+	m := r.upstreams.get(s, r.newUpstream)
+	if int(result) < callResults {
+		m.calls[result].Inc()
+	}
+	m.seconds.Update(took.Seconds())
+}
+
+// ControlSent counts bytes of control messages.
+func (r *Recorder) ControlSent(kind string, bytes int) {
+	if !r.kinds.admit(kind) {
+		kind = otherLabel
+	}
+	m := r.control.get(kind, r.newControl)
+	m.messages.Inc()
+	m.bytes.Add(bytes)
+}
+
+// PlatformCalled counts calls to the platform.
+func (r *Recorder) PlatformCalled(kind string, err error) {
+	if !r.kinds.admit(kind) {
+		kind = otherLabel
+	}
+	r.platform.get(platformKey{kind: kind, result: resultOf(err)}, r.newPlatform).Inc()
+}
+
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, almondstep.ErrConflict):
+		return "conflict"
+	case errors.Is(err, almondstep.ErrUnavailable):
+		return "unavailable"
+	default:
+		return "failed"
+	}
+}
+
+// Viewed notes the newest view.
+func (r *Recorder) Viewed(v *almondstep.View) {
+	r.view.Store(v)
+}
--- /dev/null
+++ b/recorder/table.go
@@ -0,0 +1,149 @@
+package recorder
+
+// Kind says how a metric behaves.
+type Kind string
+
+// Kinds of metrics.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Metric describes one metric for operators.
+type Metric struct {
+	Name   string
+	Kind   Kind
+	Unit   string
+	Labels string
+	// Help says what is measured.
+	Help string
+	// Do says what to do when it moves.
+	Do string
+}
+
+const (
+	answers          = "almondstep_answers_total"
+	answerSeconds    = "almondstep_answer_seconds"
+	answerCoverage   = "almondstep_answer_coverage_ratio"
+	answerCodes      = "almondstep_answer_codes_total"
+	attempts         = "almondstep_attempts_total"
+	attemptsNeeded   = "almondstep_attempts_needed_total"
+	attemptsExtra    = "almondstep_attempts_extra_total"
+	calls            = "almondstep_upstream_calls_total"
+	callSeconds      = "almondstep_upstream_call_seconds"
+	controlMessages  = "almondstep_control_messages_total"
+	controlBytes     = "almondstep_control_sent_bytes_total"
+	platformCalls    = "almondstep_platform_calls_total"
+	revision         = "almondstep_revision"
+	ready            = "almondstep_ready"
+	knownDaemons     = "almondstep_known_daemons"
+	quarantined      = "almondstep_quarantined_requests"
+	ownedUpstreams   = "almondstep_owned_upstreams"
+	grantedUpstreams = "almondstep_granted_upstreams"
+)
+
+// Metrics lists every metric a daemon has, in the order of the documentation.
+func Metrics() []Metric {
+	return append(callerTable(), daemonTable()...)
+}
+
+func callerTable() []Metric {
+	return []Metric{
+		{
+			answers, Counter, "answers", "tenant, class, outcome",
+			"Answers given, by outcome: complete, partial, notRun, outcomeUnknown.",
+			"More partial: look at the reasons in the answers' coverage. More notRun: look at almondstep_answer_codes_total. More outcomeUnknown: look for lost daemons.",
+		},
+		{
+			answerSeconds, Histogram, "seconds", "tenant, class",
+			"Time from a request's arrival to its answer.",
+			"If only one service is slow, compare almondstep_upstream_call_seconds; if all are, look at overload refusals and the daemon's processor.",
+		},
+		{
+			answerCoverage, Histogram, "ratio", "tenant, class",
+			"Part of the wanted shards that an answer includes.",
+			"Below 1: shards have no replica at the snapshot, or stragglers pass the deadline. See the missing shards' reasons.",
+		},
+		{
+			answerCodes, Counter, "answers", "code",
+			"Answers that were not complete, by code.",
+			"overload: add daemons or lower the load. quarantined: find the request that crashes upstreams. noPlatform: look at the platform's service.",
+		},
+		{
+			attempts, Counter, "sub-requests", "tenant, class",
+			"Sub-requests sent for answered queries, hedges and retries included.",
+			"Compare with almondstep_attempts_needed_total: the quotient is the extra load on upstreams.",
+		},
+		{
+			attemptsNeeded, Counter, "sub-requests", "tenant, class",
+			"Sub-requests that would have been enough without hedges and retries.",
+			"See almondstep_attempts_total.",
+		},
+		{
+			attemptsExtra, Counter, "sub-requests", "tenant, class",
+			"Hedges and retries.",
+			"Rises with stragglers, at most 5% of the needed ones. At the limit for long: find the slow upstreams.",
+		},
+	}
+}
+
+func daemonTable() []Metric {
+	return []Metric{
+		{
+			calls, Counter, "calls", "service, result",
+			"Calls from this daemon to the upstreams it owns, by how they ended.",
+			"shed: the service is short of capacity. broken, refused: servers restart or crash. timeout: a silent or slow server.",
+		},
+		{
+			callSeconds, Histogram, "seconds", "service",
+			"Time of a call to an upstream, without the queue here.",
+			"A step for all of a service is the service; for one daemon only, its network.",
+		},
+		{
+			controlMessages, Counter, "messages", "kind",
+			"Control messages sent to other daemons.",
+			"Should not depend on the size of the fleet.",
+		},
+		{
+			controlBytes, Counter, "bytes", "kind",
+			"Bytes of control messages sent to other daemons.",
+			"More than 5 KB/s for long: look for members or upstreams that come and go.",
+		},
+		{
+			platformCalls, Counter, "calls", "kind, result",
+			"Calls to the platform's service: ok, conflict, unavailable, failed.",
+			"unavailable: the daemons go on with what they have; edits and idempotency keys wait for the platform.",
+		},
+		{
+			revision, Gauge, "revision", "",
+			"Revision of the configuration in force here; 0 if none.",
+			"Behind the other daemons for more than 3 s: look at whether this daemon reaches any other.",
+		},
+		{
+			ready, Gauge, "0 or 1", "",
+			"Whether callers should be sent here.",
+			"0: the readiness page says why.",
+		},
+		{
+			knownDaemons, Gauge, "daemons", "",
+			"Other daemons whose address is known here.",
+			"A sudden drop in one zone is a partition or a loss of VMs.",
+		},
+		{
+			quarantined, Gauge, "requests", "",
+			"Requests refused because they crashed what ran them.",
+			"Above 0: find the request in the log and report it to the service's owner.",
+		},
+		{
+			ownedUpstreams, Gauge, "upstreams", "temperature",
+			"Upstreams that this daemon alone sends work to, by what is known of them.",
+			"cold after a restart or hand-over is normal for seconds; lost for long: the list shows a server that is gone.",
+		},
+		{
+			grantedUpstreams, Gauge, "upstreams", "grant",
+			"Upstreams of this daemon by how far it may use them.",
+			"none for more than some seconds: a hand-over waits. warmOnly: this daemon is cut off from most of its zone.",
+		},
+	}
+}
