Patch documents by entry, byte for byte

Cause: daemons that hold an older edition should get what changed, and the text must come out with its comments and layout so that its hash can be checked. Change: package patcher cuts a document after each entry of a list and writes a patch as runs of copied spans and inserted text. Only fingerprints of the old edition are needed to make one. The scan for brackets outside of strings and comments stands once, in decoder.Structure, and serves the depth check too. Ruled out: a patch of parsed values (RFC 6902 style), which loses comments and layout and so the hash; a line diff, which gives the whole of a list that is written on one line. Conclusion: an edit, a changed comment, an added and a removed entry come out with the new hash; damaged patches are refused.

--- a/decoder/document.go
+++ b/decoder/document.go
@@ -96,15 +96,11 @@
 	return line + bytes.Count(text, []byte("\n")), 1 + utf8.RuneCount(text[last+1:])
 }
 
-// tooDeep counts open brackets outside of strings and comments.
+// tooDeep counts open brackets.
 func tooDeep(body []byte) (int, bool) {
 	depth := 0
-	for i := 0; i < len(body); i++ {
-		switch body[i] {
-		case '"':
-			i = endOfString(body, i)
-		case '/':
-			i = endOfComment(body, i)
+	for i, c := range Structure(body) {
+		switch c {
 		case '{', '[':
 			depth++
 		case '}', ']':
@@ -116,34 +112,3 @@
 	}
 	return 0, false
 }
-
-// endOfString finds the closing quote of the string that begins at i.
-func endOfString(body []byte, i int) int {
-	for i++; i < len(body) && body[i] != '"'; i++ {
-		if body[i] == '\\' {
-			i++
-		}
-	}
-	return i
-}
-
-// endOfComment finds the last byte of the comment that begins at i, or i
-// itself if none does.
-func endOfComment(body []byte, i int) int {
-	var end int
-	switch rest := body[i:]; {
-	case bytes.HasPrefix(rest, []byte("//")):
-		end = bytes.IndexByte(rest, '\n')
-	case bytes.HasPrefix(rest, []byte("/*")):
-		end = bytes.Index(rest[2:], []byte("*/"))
-		if end >= 0 {
-			end += len("/*") + len("*")
-		}
-	default:
-		return i
-	}
-	if end < 0 {
-		return len(body)
-	}
-	return i + end
-}
--- /dev/null
+++ b/decoder/structure.go
@@ -0,0 +1,56 @@
+package decoder
+
+import (
+	"bytes"
+	"iter"
+)
+
+// Structure yields the place of each bracket and comma that stands outside of
+// strings and comments. It needs no parsing, so it also serves on a text of
+// unknown soundness and where speed counts.
+func Structure(body []byte) iter.Seq2[int, byte] {
+	return func(yield func(int, byte) bool) {
+		for i := 0; i < len(body); i++ {
+			switch c := body[i]; c {
+			case '"':
+				i = endOfString(body, i)
+			case '/':
+				i = endOfComment(body, i)
+			case '{', '}', '[', ']', ',':
+				if !yield(i, c) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// endOfString finds the closing quote of the string that begins at i.
+func endOfString(body []byte, i int) int {
+	for i++; i < len(body) && body[i] != '"'; i++ {
+		if body[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+// endOfComment finds the last byte of the comment that begins at i, or i
+// itself if none does.
+func endOfComment(body []byte, i int) int {
+	rest := body[i:]
+	end, mark := -1, ""
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		mark = "\n"
+	case bytes.HasPrefix(rest, []byte("/*")):
+		mark = "*/"
+	default:
+		return i
+	}
+	const opening = len("//")
+	if end = bytes.Index(rest[opening:], []byte(mark)); end < 0 {
+		return len(body)
+	}
+	return i + opening + end + len(mark) - 1
+}
--- /dev/null
+++ b/patcher/patch.go
@@ -0,0 +1,158 @@
+package patcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+)
+
+// step is one part of a patch: a copied run of old spans, or inserted text. In
+// JSON it is [from, count] or a string.
+type step struct {
+	from   int
+	count  int
+	insert []byte
+}
+
+// MarshalJSON writes [from, count] or the inserted text.
+func (s step) MarshalJSON() ([]byte, error) {
+	if s.count > 0 {
+		return json.Marshal([2]int{s.from, s.count})
+	}
+	return marshalText(s.insert)
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (s *step) UnmarshalJSON(body []byte) error {
+	if len(body) > 0 && body[0] == '"' {
+		var text string
+		err := json.Unmarshal(body, &text)
+		s.insert = []byte(text)
+		return err
+	}
+	var run [2]int
+	err := json.Unmarshal(body, &run)
+	s.from, s.count = run[0], run[1]
+	return err
+}
+
+// marshalText writes a string without escaping <, > and &.
+func marshalText(text []byte) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(string(text)); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
+}
+
+// Make gives a patch from old to body, or nil if it would be no shorter than
+// body itself.
+func Make(old, body []byte) []byte {
+	return NewIndex(old).Make(body)
+}
+
+// Make gives a patch from the indexed edition to body, or nil if it would be
+// no shorter than body itself or body isn't UTF-8.
+func (x Index) Make(body []byte) []byte {
+	if !utf8.Valid(body) {
+		return nil
+	}
+	places := make(map[uint64]int, len(x.spans))
+	for i, f := range x.spans {
+		if _, ok := places[f]; !ok {
+			places[f] = i
+		}
+	}
+	var steps []step
+	for _, span := range split(body) {
+		steps = x.add(steps, span, places)
+	}
+	patch, err := encode(steps)
+	if err != nil || len(patch) >= len(body) {
+		return nil
+	}
+	return patch
+}
+
+// add appends a span to the steps, as part of the run before it where it can be.
+func (x Index) add(steps []step, span []byte, places map[uint64]int) []step {
+	f := fingerprint(span)
+	var last *step
+	if len(steps) > 0 {
+		last = &steps[len(steps)-1]
+	}
+	if last != nil && last.count > 0 {
+		if next := last.from + last.count; next < len(x.spans) && x.spans[next] == f {
+			last.count++
+			return steps
+		}
+	}
+	if at, ok := places[f]; ok {
+		return append(steps, step{from: at, count: 1})
+	}
+	if last != nil && last.count == 0 {
+		last.insert = append(last.insert, span...)
+		return steps
+	}
+	return append(steps, step{insert: bytes.Clone(span)})
+}
+
+func encode(steps []step) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(steps); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
+}
+
+// Apply gives the edition that patch makes of old. The caller compares its hash;
+// a patch for another edition is an almondstep.ErrCorrupt or gives another hash.
+func Apply(old, patch []byte) ([]byte, error) {
+	var steps []step
+	if err := json.Unmarshal(patch, &steps); err != nil {
+		return nil, errors.Wrapf(almondstep.ErrCorrupt, "patch: %v", err)
+	}
+	spans := split(old)
+	size, err := sizeOf(spans, steps)
+	if err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
+	for _, s := range steps {
+		body = append(body, s.insert...)
+		for _, span := range spans[s.from : s.from+s.count] {
+			body = append(body, span...)
+		}
+	}
+	return body, nil
+}
+
+// maxBytes bounds what a patch may make, so that a damaged one can't exhaust
+// the memory.
+const maxBytes = 64 << 20
+
+// sizeOf checks that every run lies within the old edition.
+func sizeOf(spans [][]byte, steps []step) (int, error) {
+	size := 0
+	for _, s := range steps {
+		if s.from < 0 || s.count < 0 || s.from > len(spans) || s.count > len(spans)-s.from {
+			return 0, errors.Wrapf(almondstep.ErrCorrupt, "patch copies spans %d+%d of %d", s.from, s.count, len(spans))
+		}
+		size += len(s.insert)
+		for _, span := range spans[s.from : s.from+s.count] {
+			size += len(span)
+		}
+		if size > maxBytes {
+			return 0, errors.Wrapf(almondstep.ErrCorrupt, "patch makes more than %d bytes", maxBytes)
+		}
+	}
+	return size, nil
+}
--- /dev/null
+++ b/patcher/patch_test.go
@@ -0,0 +1,89 @@
+package patcher_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+	"almondstep/patcher"
+)
+
+func ExampleMake() {
+	old := []byte(`{"zones": [{"name": "a"}, {"name": "b"}, {"name": "c"}, {"name": "d"}, {"name": "e"}]}`)
+	body := bytes.Replace(old, []byte(`"b"`), []byte(`"b", "out": true`), 1)
+	patch := patcher.Make(old, body)
+	fmt.Println(string(patch))
+	got, err := patcher.Apply(old, patch)
+	fmt.Println(bytes.Equal(got, body), err)
+	// Output:
+	// [[0,1]," {\"name\": \"b\", \"out\": true},",[2,3]]
+	// true <nil>
+}
+
+func TestAnyEditComesOutByteForByte(t *testing.T) {
+	old, err := os.ReadFile("../examples/roastery.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	edits := map[string][2]string{
+		"changed entry":   {`"share": 50`, `"share": 51`},
+		"changed comment": {`// 3 servers.`, `// 4 servers, "quoted", [`},
+		"removed entry":   {`    {"name": "kitchens", "share": 30, "maxOpen": 100},` + "\n", ``},
+		"added entry":     {`    {"name": "kitchens"`, `    {"name": "new", "share": 1, "maxOpen": 1},` + "\n" + `    {"name": "kitchens"`},
+		"changed end":     {"  ],\n}\n", "  ], // end\n}"},
+	}
+	for name, e := range edits {
+		body := []byte(strings.Replace(string(old), e[0], e[1], 1))
+		if bytes.Equal(body, old) {
+			t.Fatalf("%s: the case changes nothing", name)
+		}
+		patch := patcher.Make(old, body)
+		got, err := patcher.Apply(old, patch)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if got, want := almondstep.HashOf(got), almondstep.HashOf(body); got != want {
+			t.Errorf("%s: got hash %s, want %s", name, got, want)
+		}
+		if got, want := len(patch), len(body)/2; got > want {
+			t.Errorf("%s: got a patch of %d bytes, want at most %d", name, got, want)
+		}
+	}
+}
+
+func TestNoPatchWhereNothingIsShared(t *testing.T) {
+	if got := patcher.Make([]byte(`{"a": [1,2]}`), []byte(`{"b": [3,4]}`)); got != nil {
+		t.Errorf("got %s, want none", got)
+	}
+}
+
+func TestDamagedPatchIsRefused(t *testing.T) {
+	old := []byte(`{"a": [1,2,3]}`)
+	for _, patch := range []string{``, `{}`, `[[0,9]]`, `[[-1,1]]`, `[[0,-1]]`, `[[9,1]]`, `[[1,9223372036854775807]]`} {
+		if _, err := patcher.Apply(old, []byte(patch)); !errors.Is(err, almondstep.ErrCorrupt) {
+			t.Errorf("%s: got %v, want ErrCorrupt", patch, err)
+		}
+	}
+}
+
+// FuzzApply sees to it that any patch is applied or refused, and that a made
+// patch gives the new edition.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"a": [1,2,3], "b": [{"c": "]"}]}`), []byte(`{"a": [1,4,3]}`), []byte(`[[0,2],"x"]`))
+	f.Fuzz(func(t *testing.T, old, body, patch []byte) {
+		_, _ = patcher.Apply(old, patch)
+		made := patcher.Make(old, body)
+		if made == nil {
+			return
+		}
+		got, err := patcher.Apply(old, made)
+		if err != nil || !bytes.Equal(got, body) {
+			t.Errorf("got %q and %v, want %q", got, err, body)
+		}
+	})
+}
--- /dev/null
+++ b/patcher/split.go
@@ -0,0 +1,31 @@
+package patcher
+
+import "almondstep/decoder"
+
+// entryDepth is the number of open brackets around an entry: the outermost
+// object and the list.
+const entryDepth = 2
+
+// split cuts a document after each entry and its comma. A document of another
+// shape is one span.
+func split(body []byte) [][]byte {
+	var spans [][]byte
+	depth, start := 0, 0
+	for i, c := range decoder.Structure(body) {
+		switch c {
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		case ',':
+			if depth == entryDepth {
+				spans = append(spans, body[start:i+1])
+				start = i + 1
+			}
+		}
+	}
+	if start < len(body) {
+		spans = append(spans, body[start:])
+	}
+	return spans
+}
