--- a/decoder/structure.go
+++ b/decoder/structure.go
@@ -39,7 +39,7 @@
 // itself if none does.
 func endOfComment(body []byte, i int) int {
 	rest := body[i:]
-	end, mark := -1, ""
+	var mark string
 	switch {
 	case bytes.HasPrefix(rest, []byte("//")):
 		mark = "\n"
@@ -49,7 +49,8 @@
 		return i
 	}
 	const opening = len("//")
-	if end = bytes.Index(rest[opening:], []byte(mark)); end < 0 {
+	end := bytes.Index(rest[opening:], []byte(mark))
+	if end < 0 {
 		return len(body)
 	}
 	return i + opening + end + len(mark) - 1
--- a/message_control.go
+++ b/message_control.go
@@ -160,6 +160,8 @@
 	Document *Document    `json:"document,omitempty"`
 	// Err says why the platform could not be read.
 	Err string `json:"err,omitempty"`
+	// Asked repeats the ReadDocument's.
+	Asked Instant `json:"asked,omitempty"`
 }
 
 // PullArrived brings a peer's request for a document newer than what it has.
@@ -268,6 +270,9 @@
 	Name  DocumentName  `json:"name"`
 	After Revision      `json:"after"`
 	Wait  time.Duration `json:"wait"`
+	// Asked is when the read was asked for; DocumentRead repeats it, so that a
+	// late answer isn't taken for fresh news.
+	Asked Instant `json:"asked,omitempty"`
 }
 
 // SendPull asks a peer for a document newer than Have. The outcome comes back as
