--- a/merger/merger.go
+++ b/merger/merger.go
@@ -73,7 +73,7 @@
 
 // Kept gives a copy of the records kept, in key order.
 func (m *Records) Kept() []almondstep.Record {
-	return slices.Clone(m.kept)
+	return append(make([]almondstep.Record, 0, len(m.kept)), m.kept...)
 }
 
 // Compare orders records by key, then by body.
--- a/querier/canary.go
+++ b/querier/canary.go
@@ -83,9 +83,6 @@
 // the query has ended.
 func (q *Queries) canaryStep(qu *query) bool {
 	switch {
-	case qu.crashes >= crashLimit:
-		q.finish(qu, almondstep.CodeQuarantined)
-		return false
 	case qu.merged > 0:
 		q.reputations.setGood(qu.ask.fingerprint)
 		q.fanOut(qu)
@@ -122,7 +119,7 @@
 // pickFirst picks the replica of a shard's first try.
 func (q *Queries) pickFirst(qu *query, target int) {
 	r, _ := qu.plan.Targets()[target].Choose(q.hash(qu, target))
-	q.pick(target, r)
+	q.pick(qu, target, r)
 }
 
 // hash draws a number that depends on the seed, the query and n alone.
--- /dev/null
+++ b/querier/check_test.go
@@ -0,0 +1,141 @@
+package querier_test
+
+import (
+	"fmt"
+
+	"almondstep"
+)
+
+// feed hands the partition an event and checks every effect.
+func (f *fake) feed(e almondstep.Event) {
+	for _, effect := range f.q.Reduce(f.now, f.v, e, nil) {
+		switch effect := effect.(type) {
+		case *almondstep.SendWork:
+			f.checkWork(effect)
+		case *almondstep.ReplyCaller:
+			f.checkReply(effect)
+		case *almondstep.SetQueryTimer:
+			f.notAfterEnd(effect.ID, effect)
+			f.timers = append(f.timers, effect)
+		case *almondstep.SendCollect:
+			f.notAfterEnd(effect.Query, effect)
+			f.collect(effect)
+		case *almondstep.ClaimKey:
+			f.notAfterEnd(effect.ID, effect)
+			f.claims = append(f.claims, effect.ID)
+		}
+	}
+}
+
+// notAfterEnd holds for all effects but cancels.
+func (f *fake) notAfterEnd(id almondstep.QueryID, e almondstep.Effect) {
+	truth := f.queries[id]
+	if truth.ended || truth.gone {
+		f.t.Errorf("query %d: %s after its end", id, e.Kind())
+	}
+}
+
+// checkWork takes a Work in and draws what will truly happen to its items.
+func (f *fake) checkWork(s *almondstep.SendWork) {
+	w := s.Work
+	f.notAfterEnd(w.Query, s)
+	truth := f.queries[w.Query]
+	if truth.keyed && !truth.claimed {
+		f.t.Errorf("query %d: sent before its key was claimed", w.Query)
+	}
+	sent := &sentWork{owner: s.Owner, work: w, told: make([]bool, len(w.Items))}
+	for range w.Items {
+		fate := almondstep.ItemDone
+		if f.r.oneIn(3) {
+			fate = []almondstep.ItemOutcome{
+				almondstep.ItemNotRun, almondstep.ItemFailed, almondstep.ItemUnknown,
+				almondstep.ItemWrongVersion, almondstep.ItemCrashed, almondstep.ItemNotRun,
+			}[f.r.below(6)]
+		}
+		sent.fates = append(sent.fates, fate)
+	}
+	truth.open += len(w.Items)
+	truth.sent += len(w.Items)
+	f.sent = append(f.sent, sent)
+	if truth.once && truth.begun+truth.open > 1 {
+		f.t.Errorf("query %d: %d begun, %d may begin; want at most one", w.Query, truth.begun, truth.open)
+	}
+	if truth.once && (w.Idempotent || w.Hedge) {
+		f.t.Errorf("query %d: idempotent %v, hedge %v", w.Query, w.Idempotent, w.Hedge)
+	}
+}
+
+func (f *fake) collect(c *almondstep.SendCollect) {
+	for _, w := range f.sent {
+		if w.work.Query == c.Query && w.work.Attempt == c.Attempt {
+			w.waiting = true
+		}
+	}
+}
+
+// checkReply compares an answer with what truly happened.
+func (f *fake) checkReply(r *almondstep.ReplyCaller) {
+	truth := f.queries[r.ID]
+	f.notAfterEnd(r.ID, r)
+	truth.ended = true
+	a := r.Answer
+	if f.outcomes != nil {
+		f.outcomes[a.Outcome]++
+	}
+	if a.Attempts != truth.sent {
+		f.t.Errorf("query %d: says %d attempts, %d were sent", r.ID, a.Attempts, truth.sent)
+	}
+	switch a.Outcome {
+	case almondstep.OutcomeNotRun:
+		if truth.begun+truth.open > 0 {
+			f.t.Errorf("query %d: notRun, but %d have begun and %d may", r.ID, truth.begun, truth.open)
+		}
+	case almondstep.OutcomeUnknown:
+		if !truth.once {
+			f.t.Errorf("query %d: unknown, but it may be sent again", r.ID)
+		}
+	case almondstep.OutcomePartial:
+		if truth.once {
+			f.t.Errorf("query %d: partial, but it has one shard", r.ID)
+		}
+	case almondstep.OutcomeComplete:
+	default:
+		f.t.Errorf("query %d: outcome %q", r.ID, a.Outcome)
+	}
+	f.checkCoverage(a)
+}
+
+// checkCoverage holds the coverage against the records: each shard has one
+// record at each version, so what is included must be there exactly once.
+func (f *fake) checkCoverage(a *almondstep.Answer) {
+	c := a.Coverage
+	if c.Included != len(a.Records) || c.Included != a.Total {
+		f.t.Errorf("query %d: %d included, %d records, total %d", a.Query, c.Included, len(a.Records), a.Total)
+	}
+	complete := a.Outcome == almondstep.OutcomeComplete
+	if complete != c.Complete || (complete && c.Included != c.Wanted) {
+		f.t.Errorf("query %d: outcome %q with coverage %+v", a.Query, a.Outcome, c)
+	}
+	if c.Wanted > 0 && c.Included+len(c.Missing) != c.Wanted {
+		f.t.Errorf("query %d: %d included and %d missing of %d", a.Query, c.Included, len(c.Missing), c.Wanted)
+	}
+	seen := map[string]bool{}
+	for _, r := range a.Records {
+		if seen[r.Key] {
+			f.t.Errorf("query %d: %s is doubled", a.Query, r.Key)
+		}
+		seen[r.Key] = true
+		if r.Body != fmt.Sprint(c.Version) {
+			f.t.Errorf("query %d: %s is of version %s, want %d", a.Query, r.Key, r.Body, c.Version)
+		}
+	}
+	for _, m := range c.Missing {
+		s := almondstep.NewShard(m.Service, m.Shard, m.Of)
+		if seen[s.String()] {
+			f.t.Errorf("query %d: %v is both included and missing", a.Query, s)
+		}
+		if m.Reason == "" {
+			f.t.Errorf("query %d: %v is missing for no reason", a.Query, s)
+		}
+	}
+}
--- a/querier/finish.go
+++ b/querier/finish.go
@@ -8,6 +8,10 @@
 	if qu.stage == stageClaim {
 		return
 	}
+	if qu.crashes > 0 && q.reputations.quarantined(qu.ask.fingerprint, q.now) {
+		q.finish(qu, almondstep.CodeQuarantined)
+		return
+	}
 	if qu.stage == stageCanary && !q.canaryStep(qu) {
 		return
 	}
--- a/querier/query.go
+++ b/querier/query.go
@@ -89,6 +89,7 @@
 	state  shardState
 	begun  uint8
 	count  uint8
+	picked bool
 	tries  [maxTries]try
 	reason almondstep.Reason
 }
--- /dev/null
+++ b/querier/race_on_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package querier_test
+
+// propertyCases is smaller where the race detector slows each case down.
+const propertyCases = 6_000
--- a/querier/retry.go
+++ b/querier/retry.go
@@ -61,14 +61,14 @@
 	}
 	if f.costsNothing() || qu.ask.once {
 		q.counters.Repicks++
-		q.pick(target, r)
+		q.pick(qu, target, r)
 		return true
 	}
 	if !q.budget.Take() {
 		return false
 	}
 	q.counters.Retries++
-	q.pick(target, r)
+	q.pick(qu, target, r)
 	return true
 }
 
@@ -79,7 +79,7 @@
 	}
 	for _, target := range targets {
 		sh := &qu.shards[target]
-		if sh.state != shardAsked || sh.count >= maxTries || sh.begun >= maxBegun {
+		if sh.state != shardAsked || sh.picked || sh.count >= maxTries || sh.begun >= maxBegun {
 			continue
 		}
 		want := q.wantFor(qu, target)
@@ -94,7 +94,7 @@
 			break
 		}
 		q.counters.Hedges++
-		q.pick(target, r)
+		q.pick(qu, target, r)
 	}
 	q.sendPicks(qu, true)
 }
--- a/querier/send.go
+++ b/querier/send.go
@@ -34,7 +34,8 @@
 }
 
 // pick notes a try that sendPicks will send.
-func (q *Queries) pick(target int, r almondstep.Replica) {
+func (q *Queries) pick(qu *query, target int, r almondstep.Replica) {
+	qu.shards[target].picked = true
 	s := &q.scratch
 	group, ok := s.groups[r.Owner()]
 	if !ok {
@@ -90,6 +91,7 @@
 	sh.count++
 	sh.begun++
 	sh.state = shardAsked
+	sh.picked = false
 	at.items = append(at.items, almondstep.Item{Shard: qu.plan.Targets()[p.target].Shard(), Upstream: p.upstream})
 	at.open++
 	qu.inFlight++
