--- /dev/null
+++ b/hedger/hedger_test.go
@@ -0,0 +1,120 @@
+package hedger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondstep/hedger"
+)
+
+func ExampleBudget() {
+	b := hedger.Budget{SharePerMille: 50, Burst: 100}
+	b.Earn(40)
+	fmt.Println(b.Take(), b.Take(), b.Take())
+	// Output: true true false
+}
+
+// A quantile is at most an eighth above the true one.
+func TestDigestQuantile(t *testing.T) {
+	var d hedger.Digest
+	for i := range 5_000 {
+		d.Observe(time.Duration(i+1) * 10 * time.Microsecond)
+	}
+	for _, c := range []struct {
+		name      string
+		got, want time.Duration
+	}{
+		{"slow", d.Slow(), 48_500 * time.Microsecond},
+		{"typical", d.Typical(), 25 * time.Millisecond},
+	} {
+		if c.got < c.want || c.got > c.want+c.want/8+time.Microsecond {
+			t.Errorf("%s is %v, want %v to an eighth more", c.name, c.got, c.want)
+		}
+	}
+}
+
+// After a change, the old latencies lose their weight.
+func TestDigestFollowsChange(t *testing.T) {
+	var d hedger.Digest
+	for range 100_000 {
+		d.Observe(50 * time.Millisecond)
+	}
+	for range 40_000 {
+		d.Observe(time.Millisecond)
+	}
+	if got, want := d.Slow(), 2*time.Millisecond; got > want {
+		t.Errorf("slow is %v, want at most %v", got, want)
+	}
+}
+
+// Whatever a digest sees, it neither panics nor leaves its range.
+func TestDigestExtremes(t *testing.T) {
+	for _, took := range []time.Duration{-1, 0, 1, time.Hour, 1<<63 - 1} {
+		var d hedger.Digest
+		d.Observe(took)
+		if d.Slow() <= 0 || d.Count() != 1 {
+			t.Errorf("%v: slow %v, count %d", took, d.Slow(), d.Count())
+		}
+	}
+}
+
+// Over any time, further attempts are at most the share and one burst.
+func TestBudgetBoundsExtraLoad(t *testing.T) {
+	b := hedger.Budget{SharePerMille: 50, Burst: 64}
+	b.Start(64)
+	needed := 0
+	for i := range 10_000 {
+		n := i%1_200 + 1
+		needed += n
+		b.Earn(n)
+		for range n {
+			b.Saw(false)
+			b.Take()
+		}
+	}
+	if got, most := int(b.Taken()), needed*50/1_000+64; got > most || got < most*9/10 {
+		t.Errorf("%d further attempts, want close to and at most %d", got, most)
+	}
+}
+
+// While upstreams shed, nothing is paid; once they don't, it is again.
+func TestBudgetStopsWhileShedding(t *testing.T) {
+	b := hedger.Budget{SharePerMille: 50, Burst: 64}
+	b.Start(64)
+	for range 100 {
+		b.Saw(true)
+	}
+	if b.Take() {
+		t.Error("paid while upstreams shed")
+	}
+	for range 5_000 {
+		b.Saw(false)
+	}
+	if !b.Take() {
+		t.Error("not paid although shedding is over")
+	}
+}
+
+func TestDelayIsBounded(t *testing.T) {
+	var slow, quick hedger.Digest
+	for range 100 {
+		slow.Observe(time.Second)
+		quick.Observe(10 * time.Microsecond)
+	}
+	for _, c := range []struct {
+		name      string
+		digest    *hedger.Digest
+		untilSoft time.Duration
+		want      time.Duration
+	}{
+		{"nothing known", &hedger.Digest{}, 40 * time.Millisecond, 10 * time.Millisecond},
+		{"slow", &slow, 40 * time.Millisecond, 20 * time.Millisecond},
+		{"quick", &quick, 40 * time.Millisecond, 2 * time.Millisecond},
+		{"no time left", &quick, -1, 0},
+	} {
+		if got := hedger.Delay(c.digest, c.untilSoft); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,199 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/planner"
+)
+
+// replica is a short form of a replica in zone a.
+func replica(addr string, t almondstep.Temperature) almondstep.Replica {
+	return almondstep.NewReplica(almondstep.Address(addr), "a", "o1", t, time.Millisecond)
+}
+
+// viewOf makes a view in zone a, with zone c out.
+func viewOf(placements map[almondstep.ServiceName][]almondstep.Placement) *almondstep.View {
+	c, err := almondstep.NewCatalog(almondstep.CatalogText{
+		Zones: []almondstep.ZoneText{{Name: "a"}, {Name: "b"}, {Name: "c", Out: true}},
+		Services: []almondstep.ServiceText{
+			{Name: "desk", DialTime: "1ms", DependsOn: []almondstep.ServiceName{"store"}},
+			{Name: "store", DialTime: "1ms"},
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return almondstep.NewView(almondstep.ViewParts{Self: "o1", Zone: "a", Catalog: c, Placements: placements})
+}
+
+func planOf(v *almondstep.View, service almondstep.ServiceName) *planner.Plan {
+	s, _ := v.Catalog().Service(service)
+	var p planner.Planner
+	return p.Search(v, s)
+}
+
+// placed gives a placement from the replicas of each shard.
+func placed(version almondstep.Version, shards ...[]almondstep.Replica) almondstep.Placement {
+	return almondstep.NewPlacement(version, uint32(len(shards)), shards)
+}
+
+type replicas = []almondstep.Replica
+
+func ExamplePlanner_Search() {
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{"store": {
+		placed(9, replicas{replica("s0", almondstep.Warm)}, nil),
+		placed(8, replicas{replica("s0", almondstep.Warm)}, replicas{replica("s1", almondstep.Warm)}),
+	}})
+	plan := planOf(v, "store")
+	fmt.Println(plan.Version(), plan.Complete())
+	// Output: 8 true
+}
+
+func TestVersionChoice(t *testing.T) {
+	warm, cold, gone := replica("w", almondstep.Warm), replica("c", almondstep.Cold), replica("g", almondstep.Leaving)
+	out := almondstep.NewReplica("z", "c", "o1", almondstep.Warm, 0)
+	orphan := almondstep.NewReplica("n", "a", "", almondstep.Warm, 0)
+	for _, c := range []struct {
+		name     string
+		newest   almondstep.Placement
+		older    almondstep.Placement
+		want     almondstep.Version
+		complete bool
+	}{
+		{"the newest complete one", placed(9, replicas{warm}), placed(8, replicas{warm}), 9, true},
+		{"older and warm before newer and cold", placed(9, replicas{cold}), placed(8, replicas{warm}), 8, true},
+		{"newer and cold before older and incomplete", placed(9, replicas{cold}, replicas{cold}), placed(8, replicas{warm}, nil), 9, true},
+		{"leaving is as good as none", placed(9, replicas{gone}), placed(8, replicas{warm}), 8, true},
+		{"a zone that is out is as good as none", placed(9, replicas{out}), placed(8, replicas{warm}), 8, true},
+		{"no owner is as good as none", placed(9, replicas{orphan}), placed(8, replicas{warm}), 8, true},
+		{"the largest coverage", placed(9, replicas{warm}, nil, nil), placed(8, replicas{warm}, replicas{warm}, nil), 8, false},
+		{"the newest of equal coverage", placed(9, replicas{warm}, nil), placed(8, nil, replicas{warm}), 9, false},
+		{"by key space, not by number", placed(9, replicas{warm}, nil), placed(8, replicas{warm}, replicas{warm}, nil, nil, nil), 9, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{"store": {c.newest, c.older}})
+			plan := planOf(v, "store")
+			if plan.Version() != c.want || plan.Complete() != c.complete {
+				t.Errorf("version %d, complete %v; want %d, %v", plan.Version(), plan.Complete(), c.want, c.complete)
+			}
+		})
+	}
+}
+
+// One version serves the whole closure, so a dependency that lags holds the
+// search back; one that has nothing is missing as a whole.
+func TestOneVersionForTheClosure(t *testing.T) {
+	warm := replicas{replica("w", almondstep.Warm)}
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{
+		"desk":  {placed(9, warm, warm), placed(8, warm, warm)},
+		"store": {placed(8, warm)},
+	})
+	plan := planOf(v, "desk")
+	if got, want := plan.Version(), almondstep.Version(8); got != want || !plan.Complete() {
+		t.Errorf("version %d, complete %v; want %d, complete", got, plan.Complete(), want)
+	}
+	v = viewOf(map[almondstep.ServiceName][]almondstep.Placement{"desk": {placed(9, warm, warm)}})
+	plan = planOf(v, "desk")
+	if got, want := len(plan.Targets()), 3; got != want || plan.Complete() {
+		t.Errorf("%d targets, complete %v; want %d, not complete", got, plan.Complete(), want)
+	}
+}
+
+// The own zone goes first, then the nearest; equals share the load.
+func TestChoiceOfReplica(t *testing.T) {
+	at := func(addr string, zone almondstep.ZoneName, distance time.Duration) almondstep.Replica {
+		return almondstep.NewReplica(almondstep.Address(addr), zone, "o1", almondstep.Warm, distance)
+	}
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{"store": {placed(9, replicas{
+		at("far", "b", 20*time.Millisecond), at("a1", "a", time.Millisecond), at("a2", "a", time.Millisecond),
+	})}})
+	target := &planOf(v, "store").Targets()[0]
+	drawn := map[almondstep.Address]int{}
+	for i := range uint64(1_000) {
+		r, ok := target.Choose(planner.Mix(i))
+		if !ok {
+			t.Fatal("no replica")
+		}
+		drawn[r.Upstream()]++
+	}
+	if drawn["far"] != 0 || drawn["a1"] < 400 || drawn["a2"] < 400 {
+		t.Errorf("drawn %v, want a1 and a2 some 500 times each", drawn)
+	}
+}
+
+// Every shard of a plan is found at its place, and no other shard is.
+func TestIndex(t *testing.T) {
+	warm := replicas{replica("w", almondstep.Warm)}
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{
+		"desk": {placed(9, warm, warm, warm)}, "store": {placed(9, warm, warm)},
+	})
+	plan := planOf(v, "desk")
+	for i := range plan.Targets() {
+		if got, ok := plan.Index(plan.Targets()[i].Shard()); !ok || got != i {
+			t.Errorf("shard %v is at %d, %v; want %d", plan.Targets()[i].Shard(), got, ok, i)
+		}
+	}
+	for _, s := range []almondstep.Shard{
+		almondstep.NewShard("desk", 3, 3), almondstep.NewShard("desk", 0, 4), almondstep.NewShard("other", 0, 3),
+	} {
+		if _, ok := plan.Index(s); ok {
+			t.Errorf("found %v, which the plan doesn't want", s)
+		}
+	}
+}
+
+// A record's one shard is planned at the newest version that has it warm.
+func TestRun(t *testing.T) {
+	warm, cold := replicas{replica("w", almondstep.Warm)}, replicas{replica("c", almondstep.Cold)}
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{
+		"store": {placed(9, cold, cold), placed(8, warm, warm)},
+	})
+	plan := planner.Run(v, "store", "lot-1")
+	want := almondstep.ShardOfKey("store", "lot-1", 2)
+	if got := plan.Targets()[0].Shard(); got != want || plan.Version() != 8 {
+		t.Errorf("%v at version %d, want %v at 8", got, plan.Version(), want)
+	}
+	if got, ok := plan.Index(want); !ok || got != 0 {
+		t.Errorf("index %d, %v; want 0", got, ok)
+	}
+}
+
+func TestRepick(t *testing.T) {
+	at := func(addr string, owner almondstep.DaemonID, temperature almondstep.Temperature) almondstep.Replica {
+		return almondstep.NewReplica(almondstep.Address(addr), "a", owner, temperature, 0)
+	}
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{"store": {placed(9, replicas{
+		at("s1", "o1", almondstep.Warm), at("s2", "o1", almondstep.Warm),
+		at("s3", "o2", almondstep.Cold), at("s4", "o3", almondstep.Leaving),
+	})}})
+	tried := []planner.Tried{{Upstream: "s1", Owner: "o1"}}
+	for _, c := range []struct {
+		name string
+		want planner.Want
+		addr almondstep.Address
+	}{
+		{"another upstream, warm before cold", planner.Want{Tried: tried}, "s2"},
+		{"another owner, although it is cold", planner.Want{Tried: tried, OtherOwner: true}, "s3"},
+		{"no cold one", planner.Want{Tried: tried, OtherOwner: true, WarmOnly: true}, ""},
+		{
+			"the same upstream through its new owner, if there is no other",
+			planner.Want{Tried: []planner.Tried{{Upstream: "s1", Owner: "o9"}, {Upstream: "s2", Owner: "o1"}}, WarmOnly: true},
+			"s1",
+		},
+		{
+			"not the straggler",
+			planner.Want{Tried: []planner.Tried{{Upstream: "s1", Owner: "o9"}, {Upstream: "s2", Owner: "o1"}}, WarmOnly: true, OtherUpstream: true},
+			"",
+		},
+	} {
+		c.want.Shard = almondstep.NewShard("store", 0, 1)
+		c.want.Version = 9
+		r, ok := planner.Repick(v, c.want)
+		if r.Upstream() != c.addr || ok != (c.addr != "") {
+			t.Errorf("%s: got %q, %v; want %q", c.name, r.Upstream(), ok, c.addr)
+		}
+	}
+}
--- a/planner/repick.go
+++ b/planner/repick.go
@@ -38,6 +38,12 @@
 	return almondstep.Replica{}, false
 }
 
+// Offered says whether any replica that may get work serves a shard at a version.
+func Offered(v *almondstep.View, s almondstep.Shard, version almondstep.Version) bool {
+	_, ok := Repick(v, Want{Shard: s, Version: version})
+	return ok
+}
+
 func repickFrom(v *almondstep.View, w *Want, replicas []almondstep.Replica) (almondstep.Replica, bool) {
 	var chosen almondstep.Replica
 	var chosenTried bool
