--- /dev/null
+++ b/querier/driver_test.go
@@ -0,0 +1,92 @@
+package querier_test
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+// searchWith makes a search that a test changes.
+func (d *driver) searchWith(change func(*almondstep.SearchArrived)) *almondstep.SearchArrived {
+	e := search(100, "routine")
+	change(e)
+	return e
+}
+
+// order makes a request that is not idempotent.
+func (d *driver) order(key string) *almondstep.RunArrived {
+	return &almondstep.RunArrived{
+		ID: 1, Scheme: "plant", Name: "desk", Tenant: "growers", Class: "routine",
+		Operation: "enter", RecordKey: "lot-1", Body: "12 sacks", Key: key, Fingerprint: 78,
+	}
+}
+
+// answerTo answers a Work with one outcome for all items. A refusal is a shed.
+func (d *driver) answerTo(w *almondstep.Work, outcome almondstep.ItemOutcome) *almondstep.WorkAnswered {
+	outcomes := make([]almondstep.ItemOutcome, len(w.Items))
+	for i := range outcomes {
+		outcomes[i] = outcome
+	}
+	a := answer(d.owner(w), w, outcomes...)
+	for i := range a.Items {
+		if outcome == almondstep.ItemNotRun {
+			a.Items[i].Reason = almondstep.ReasonShed
+		}
+	}
+	return a
+}
+
+// answerEach answers every Work sent, also those sent meanwhile, the first
+// with the first outcome and so on; the last outcome is for all others.
+func (d *driver) answerEach(outcomes ...almondstep.ItemOutcome) {
+	queue := d.works()
+	for i := 0; i < len(queue); i++ {
+		outcome := outcomes[min(i, len(outcomes)-1)]
+		d.at(time.Duration(d.now)+ms, d.answerTo(queue[i], outcome))
+		queue = append(queue, d.works()...)
+	}
+}
+
+func (d *driver) searchAll(outcomes ...almondstep.ItemOutcome) {
+	d.searchID(1, outcomes...)
+}
+
+func (d *driver) searchID(id almondstep.QueryID, outcomes ...almondstep.ItemOutcome) {
+	d.at(0, search(id, "routine"))
+	d.answerEach(outcomes...)
+}
+
+func (d *driver) runAll(key string, outcomes ...almondstep.ItemOutcome) {
+	d.at(0, d.order(key))
+	d.answerEach(outcomes...)
+}
+
+// claim runs a request with a key up to the claim's answer.
+func (d *driver) claim(outcome almondstep.ClaimOutcome) {
+	d.at(0, d.order("k"))
+	d.at(ms, &almondstep.ClaimAnswered{ID: 1, Outcome: outcome})
+}
+
+// failAll fails every Work sent so far, and those sent meanwhile.
+func (d *driver) failAll(notRun bool) {
+	for i := 0; i < len(d.sent); i++ {
+		w := d.sent[i]
+		d.at(time.Duration(d.now)+ms, &almondstep.WorkFailed{
+			ID: w.Query, Attempt: w.Attempt, Owner: d.owner(w), NotRun: notRun,
+		})
+	}
+}
+
+func (d *driver) searchFails(notRun bool) {
+	d.at(0, search(1, "routine"))
+	d.failAll(notRun)
+}
+
+// lose takes the replicas of the first n shards away.
+func (d *driver) lose(n int) {
+	f := deskFleet(4, 2, 1)
+	for i := range n {
+		f.Servers[i].Temperature = "lost"
+	}
+	d.v = f.view()
+}
--- a/querier/finish.go
+++ b/querier/finish.go
@@ -37,6 +37,9 @@
 
 // codeOf says why a query that has nothing more to wait for isn't complete.
 func (q *Queries) codeOf(qu *query) almondstep.RefusalCode {
+	if qu.begun > 0 && qu.ask.once {
+		return almondstep.CodeFailed
+	}
 	if qu.begun > 0 {
 		return almondstep.CodeMissingShards
 	}
@@ -133,8 +136,10 @@
 	switch {
 	case code == almondstep.CodeQuarantined && sh.state != shardMissing:
 		reason = almondstep.ReasonQuarantined
-	case sh.state == shardAsked || reason == "":
+	case code == almondstep.CodeDeadline && sh.state == shardAsked:
 		reason = almondstep.ReasonDeadline
+	case reason == "":
+		reason = orReason(reasons[code], almondstep.ReasonDeadline)
 	}
 	from, to := s.Range()
 	return almondstep.MissingShard{
@@ -147,6 +152,16 @@
 	}
 }
 
+// reasons say why a shard is missing that was not asked for when a query ended.
+var reasons = map[almondstep.RefusalCode]almondstep.Reason{
+	almondstep.CodeKeyTaken:      almondstep.ReasonFailed,
+	almondstep.CodeNoPlatform:    almondstep.ReasonFailed,
+	almondstep.CodeMissingShards: almondstep.ReasonFailed,
+	almondstep.CodeFailed:        almondstep.ReasonFailed,
+	almondstep.CodeShed:          almondstep.ReasonShed,
+	almondstep.CodeNoReplica:     almondstep.ReasonNoReplica,
+}
+
 // messages say for people what the codes say for programs.
 var messages = map[almondstep.RefusalCode]string{
 	almondstep.CodeNoConfiguration: "this daemon has no configuration yet; nothing was run",
@@ -162,6 +177,6 @@
 	almondstep.CodeKeyTaken:        "an earlier request with this idempotency key may have run",
 	almondstep.CodeNoPlatform:      "the idempotency key could not be claimed; nothing was run",
 	almondstep.CodeShed:            "all upstreams refused before they began; nothing was run",
-	almondstep.CodeFailed:          "the request could not be run",
+	almondstep.CodeFailed:          "the request may have run; its answer was lost",
 	almondstep.CodeMissingShards:   "some shards could not be had; coverage lists them",
 }
--- a/querier/path_test.go
+++ b/querier/path_test.go
@@ -18,16 +18,35 @@
 	v       *almondstep.View
 	now     almondstep.Instant
 	effects []almondstep.Effect
+	// sent has the Works sent so far, owners who they went to; last is the last
+	// answer.
+	owners map[*almondstep.Work]almondstep.DaemonID
+	sent   []*almondstep.Work
+	last   *almondstep.Answer
 }
 
 func newDriver(t *testing.T, f *fleet) *driver {
-	return &driver{t: t, q: querier.New(querier.Config{Seed: 1}), v: f.view()}
+	return &driver{
+		t:      t,
+		q:      querier.New(querier.Config{Seed: 1}),
+		v:      f.view(),
+		owners: map[*almondstep.Work]almondstep.DaemonID{},
+	}
 }
 
 // at handles an event at a time and keeps its effects.
 func (d *driver) at(now time.Duration, e almondstep.Event) {
 	d.now = almondstep.Instant(now)
 	d.effects = d.q.Reduce(d.now, d.v, e, nil)
+	for _, e := range d.effects {
+		switch e := e.(type) {
+		case *almondstep.SendWork:
+			d.owners[e.Work] = e.Owner
+			d.sent = append(d.sent, e.Work)
+		case *almondstep.ReplyCaller:
+			d.last = e.Answer
+		}
+	}
 }
 
 // works gives the Works sent by the last event.
@@ -41,15 +60,9 @@
 	return all
 }
 
-// owner gives the owner that a Work of the last event went to.
+// owner gives the owner that a Work was sent to.
 func (d *driver) owner(w *almondstep.Work) almondstep.DaemonID {
-	for _, e := range d.effects {
-		if s, ok := e.(*almondstep.SendWork); ok && s.Work == w {
-			return s.Owner
-		}
-	}
-	d.t.Fatalf("attempt %d was not sent", w.Attempt)
-	return ""
+	return d.owners[w]
 }
 
 // reply gives the answer of the last event; nil if there was none.
--- a/querier/retry.go
+++ b/querier/retry.go
@@ -121,7 +121,10 @@
 	sh.state = shardMissing
 	sh.reason = reason
 	qu.missing++
-	if qu.sent > 0 && needsNewerPlan(reason) {
+	if qu.sent == 0 {
+		return
+	}
+	if needsNewerPlan(reason) || !planner.Offered(q.view, qu.plan.Targets()[target].Shard(), qu.plan.Version()) {
 		qu.outdated = true
 	}
 }
