limiter: random histories, and the faults they found

Found by focused tests: a lost upstream stayed paused after it had answered its proof of life; a step in latency pulled its own baseline along, so that it never counted as a step.

Change: what was given up counts until its time has passed, whatever the boot; only a surely warm upstream gets long requests; after 250 ms without an answer an upstream gets one request before it gets more; an answered proof ends the pause; the baseline follows a step as slowly as a drift. State and Len describe the limiter to operators and tests.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// State is what the limiter knows of one upstream, for operators and tests.
+type State struct {
+	Temperature almondstep.Temperature
+	// Capacity is how many requests may be in flight: the allowance of a cold
+	// upstream, the limit of a warm one.
+	Capacity int
+	InFlight int
+	Queued   int
+}
+
+// State describes an upstream; false if it isn't known here.
+func (u *Upstreams) State(addr almondstep.Address) (State, bool) {
+	up := u.byAddr[addr]
+	if up == nil {
+		return State{}, false
+	}
+	return State{
+		Temperature: up.warmth.temperature,
+		Capacity:    up.warmth.capacity(),
+		InFlight:    len(up.calls),
+		Queued:      up.queue.count,
+	}, true
+}
+
+// Len is the number of upstreams known here.
+func (u *Upstreams) Len() int { return len(u.all) }
+
 // Reduce takes one event and appends what is to be done to out. An event of
 // another partition is ignored.
 func (u *Upstreams) Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
--- a/limiter/proofs.go
+++ b/limiter/proofs.go
@@ -19,19 +19,28 @@
 // caller's request waits for an answer that hardly comes.
 func (u *Upstreams) prove(t *turn, up *upstream) {
 	if up.warmth.temperature != almondstep.Lost {
-		up.proofs = 0
+		up.endProofs()
 		return
 	}
 	if up.grant != almondstep.GrantFull || up.zoneOut || up.proving() {
 		return
 	}
-	if up.proofs > 0 && up.pauseUntil <= t.now && up.busy(t.now) == 0 {
+	if up.proofs > 0 {
+		if up.pauseUntil > t.now || up.busy(t.now) > 0 {
+			return
+		}
 		u.sendProof(t, up)
 	}
-	if up.pauseUntil <= t.now {
-		d := proofPause << min(up.proofs, proofPauseDoublings)
-		up.pauseUntil = t.now.Add(u.jitter(d))
-		up.proofs++
+	d := proofPause << min(up.proofs, proofPauseDoublings)
+	up.pauseUntil = t.now.Add(u.jitter(d))
+	up.proofs++
+}
+
+// endProofs ends the pause between proofs once the upstream has answered.
+func (up *upstream) endProofs() {
+	if up.proofs > 0 {
+		up.proofs = 0
+		up.pauseUntil = 0
 	}
 }
 
--- /dev/null
+++ b/limiter/property_test.go
@@ -0,0 +1,442 @@
+package limiter_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/limiter"
+)
+
+const (
+	histories     = 20_000
+	quickHistory  = 2_000
+	stepsAHistory = 120
+	testSlots     = 3
+	coldRound     = 4
+	// downFor is how long a restart takes at least.
+	downFor = 260 * time.Millisecond
+	// transit is how much later than here a request's time may end upstream.
+	transit = 40 * time.Millisecond
+)
+
+// Over random orders of arrivals, cancels, endings, restarts and views:
+//
+//   - a cold upstream never runs more than it has proven to bear, counting what
+//     was canceled or timed out and may still run there,
+//   - nothing is started without a grant, at a leaving upstream or too late,
+//   - every item ends exactly once, "not run" is true, and what must not run
+//     twice is started at most once,
+//   - nothing is kept of an upstream that another daemon owns.
+func TestPropertyRandomHistories(t *testing.T) {
+	n := uint64(histories)
+	if testing.Short() {
+		n = quickHistory
+	}
+	for seed := range n {
+		h := newHistory(seed)
+		h.run()
+		if h.failure != "" {
+			t.Fatalf("seed %d: %s", seed, h.failure)
+		}
+	}
+}
+
+// history is one random history, with an account of the truth that is kept
+// apart from the limiter's own books.
+type history struct {
+	random  splitmix
+	u       *limiter.Upstreams
+	now     almondstep.Instant
+	vm      almondstep.UpstreamVM
+	owned   bool
+	grant   almondstep.Grant
+	view    *almondstep.View
+	items   map[almondstep.QueryID]*itemTruth
+	calls   []*callTruth
+	timers  []almondstep.Instant
+	boots   int
+	failure string
+	// downUntil is when an upstream that restarts listens again.
+	downUntil almondstep.Instant
+
+	// proven counts the successes since the last sign of cold.
+	proven      int
+	lostGrantAt almondstep.Instant
+}
+
+type itemTruth struct {
+	work     *almondstep.Work
+	deadline almondstep.Instant
+	starts   int
+	ends     int
+	refused  bool
+}
+
+type callTruth struct {
+	start *almondstep.StartAttempt
+	query almondstep.QueryID
+	boot  almondstep.BootID
+	// runsUntil is how long it truly runs at the upstream.
+	runsUntil almondstep.Instant
+	deadline  almondstep.Instant
+	open      bool
+	refused   bool
+}
+
+func newHistory(seed uint64) *history {
+	h := &history{
+		random: splitmix(seed),
+		u:      limiter.New(limiter.Config{Seed: seed, ColdRound: coldRound, QueueLimit: 16}),
+		items:  map[almondstep.QueryID]*itemTruth{},
+		vm:     vm("boot0"), owned: true, grant: almondstep.GrantFull,
+	}
+	h.renew()
+	return h
+}
+
+func (h *history) fail(format string, args ...any) {
+	if h.failure == "" {
+		h.failure = fmt.Sprintf("at %v: ", time.Duration(h.now)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (h *history) chance(percent int) bool { return h.random.below(100) < percent }
+
+func (h *history) run() {
+	for range stepsAHistory {
+		h.now = h.now.Add(time.Duration(h.random.below(20)) * time.Millisecond)
+		h.fireTimers()
+		h.step()
+	}
+	h.drain()
+}
+
+func (h *history) step() {
+	switch p := h.random.below(100); {
+	case p < 45:
+		h.arrive()
+	case p < 55:
+		h.cancel()
+	case p < 92:
+		h.endOne()
+	case p < 95:
+		h.restart()
+	default:
+		h.changeView()
+	}
+}
+
+// drain ends all calls, hands the upstream over and checks the sums.
+func (h *history) drain() {
+	h.owned = false
+	h.renew()
+	for range 1000 {
+		h.now = h.now.Add(50 * time.Millisecond)
+		h.fireTimers()
+		h.endOne()
+	}
+	for q, it := range h.items {
+		if it.ends != 1 {
+			h.fail("query %d ended %d times", q, it.ends)
+		}
+	}
+	if n := h.u.Len(); n != 0 {
+		h.fail("%d upstreams kept after the hand-over", n)
+	}
+}
+
+func (h *history) reduce(e almondstep.Event) {
+	for _, f := range h.u.Reduce(h.now, h.view, e, nil) {
+		switch f := f.(type) {
+		case *almondstep.StartAttempt:
+			h.started(f)
+		case *almondstep.ItemFinished:
+			h.finished(f)
+		case *almondstep.CancelAttempt:
+			h.canceled(f)
+		case *almondstep.SetUpstreamTimer:
+			h.timers = append(h.timers, h.now.Add(f.After))
+		}
+	}
+	if s, ok := h.u.State(addr); ok && s.Queued > 16 {
+		h.fail("%d items queued, over the bound", s.Queued)
+	}
+}
+
+func (h *history) fireTimers() {
+	due := h.timers
+	h.timers = nil
+	for _, at := range due {
+		if at <= h.now {
+			h.reduce(&almondstep.UpstreamTimer{Addr: addr, What: almondstep.TimerQueue})
+		} else {
+			h.timers = append(h.timers, at)
+		}
+	}
+}
+
+func (h *history) arrive() {
+	q := almondstep.QueryID(len(h.items) + 1)
+	w := &almondstep.Work{
+		Query: q, Attempt: 1, Version: 7, Limit: 5, Text: fmt.Sprint(q),
+		Priority: h.random.below(2),
+		Tenant:   almondstep.TenantName([]string{"a", "b"}[h.random.below(2)]),
+		Hedge:    h.chance(10),
+	}
+	if h.chance(30) {
+		w.Operation = "enterOrder"
+	}
+	deadline := h.now.Add(time.Duration(5+h.random.below(2000)) * time.Millisecond)
+	h.items[q] = &itemTruth{work: w, deadline: deadline}
+	e := &almondstep.ItemArrived{Item: item(), Work: w, Deadline: deadline}
+	h.reduce(e)
+	if h.chance(5) {
+		if h.items[q].ends == 0 {
+			h.reduce(e)
+		}
+	}
+}
+
+func (h *history) cancel() {
+	if len(h.items) == 0 {
+		return
+	}
+	q := almondstep.QueryID(1 + h.random.below(len(h.items)))
+	h.reduce(&almondstep.ItemCanceled{ID: q, Attempt: 1, Item: item()})
+}
+
+// started checks a start against the truth.
+func (h *history) started(f *almondstep.StartAttempt) {
+	c := &callTruth{start: f, boot: h.vm.Boot, open: true}
+	c.deadline = h.now.Add(f.Timeout)
+	c.runsUntil = c.deadline.Add(transit)
+	if h.now < h.downUntil {
+		c.refused = true
+		c.runsUntil = h.now
+	}
+	h.calls = append(h.calls, c)
+	running, open := h.running(), h.open()
+	switch {
+	case !h.owned || h.grant == almondstep.GrantNone:
+		h.fail("started without a grant")
+	case h.vm.State == almondstep.VMLeaving:
+		h.fail("started at a leaving upstream")
+	case h.grant == almondstep.GrantWarmOnly && running > 1:
+		h.fail("%d run under a grant for one at a time", running)
+	case f.Timeout <= 0:
+		h.fail("started too late")
+	case !c.refused && !h.provenWarm() && f.Timeout > almondstep.ColdAttemptTimeout:
+		h.fail("timeout %v at a cold upstream", f.Timeout)
+	case !h.provenWarm() && running > min(testSlots, 1+h.proven/coldRound):
+		h.fail("%d run at a cold upstream with %d successes", running, h.proven)
+	case open > testSlots:
+		h.fail("%d in flight over %d slots", open, testSlots)
+	}
+	if !f.Proof {
+		h.bind(c)
+	}
+}
+
+// bind finds the item that a start is for: its text is the query's id.
+func (h *history) bind(c *callTruth) {
+	q, err := strconv.ParseUint(c.start.Text, 16, 64)
+	c.query = almondstep.QueryID(q)
+	it := h.items[c.query]
+	if err != nil || it == nil {
+		h.fail("started an item that never came")
+		return
+	}
+	it.starts++
+	if it.starts > 1 {
+		h.fail("query %d started %d times", q, it.starts)
+	}
+	if it.ends > 0 {
+		h.fail("query %d started after its end", q)
+	}
+}
+
+func (h *history) provenWarm() bool { return h.proven >= coldRound*testSlots }
+
+func (h *history) running() int {
+	n := 0
+	for _, c := range h.calls {
+		if c.runsUntil > h.now {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *history) open() int {
+	n := 0
+	for _, c := range h.calls {
+		if c.open {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *history) finished(f *almondstep.ItemFinished) {
+	it := h.items[f.ID]
+	it.ends++
+	if f.Answer.Outcome == almondstep.ItemNotRun && it.starts > 0 && !it.refused {
+		h.fail("query %d was told not run, but it was started", f.ID)
+	}
+	if it.starts > 0 && !it.refused && !it.work.Repeatable() && f.Answer.Outcome == almondstep.ItemCrashed {
+		h.fail("query %d, which must not run again, was told crashed", f.ID)
+	}
+}
+
+func (h *history) canceled(f *almondstep.CancelAttempt) {
+	for _, c := range h.calls {
+		if c.start.Call == f.Call && c.open && h.chance(50) {
+			// The event comes after the reduction in progress, as from the runner.
+			c.deadline = h.now
+		}
+	}
+}
+
+// endOne ends an open call, one that is due if there is one.
+func (h *history) endOne() {
+	var chosen *callTruth
+	for _, c := range h.calls {
+		if c.open && (chosen == nil || c.deadline < chosen.deadline) {
+			chosen = c
+		}
+	}
+	if chosen == nil {
+		return
+	}
+	h.end(chosen, h.anyResult(chosen))
+}
+
+func (h *history) anyResult(c *callTruth) almondstep.CallResult {
+	if c.refused {
+		return almondstep.CallRefused
+	}
+	if c.deadline <= h.now {
+		return []almondstep.CallResult{almondstep.CallTimeout, almondstep.CallCanceled}[h.random.below(2)]
+	}
+	switch p := h.random.below(100); {
+	case p < 85:
+		return almondstep.CallDone
+	case p < 90:
+		return almondstep.CallShed
+	case p < 92:
+		return almondstep.CallRefused
+	case p < 94:
+		return almondstep.CallBroken
+	case p < 97:
+		return almondstep.CallRejected
+	default:
+		return almondstep.CallCanceled
+	}
+}
+
+// end ends a call, and keeps the account of what that proves.
+func (h *history) end(c *callTruth, r almondstep.CallResult) {
+	c.open = false
+	e := &almondstep.AttemptEnded{Addr: addr, Call: c.start.Call, Result: r, Took: time.Millisecond, Version: 7}
+	switch r {
+	case almondstep.CallDone, almondstep.CallShed, almondstep.CallRejected:
+		c.runsUntil = h.now
+		e.Boot = c.boot
+	case almondstep.CallRefused:
+		c.runsUntil = h.now
+	case almondstep.CallBroken, almondstep.CallTimeout, almondstep.CallCanceled, almondstep.CallWrongVersion:
+	}
+	if it := h.items[c.query]; it != nil && (r == almondstep.CallShed || r == almondstep.CallRefused) {
+		it.refused = true
+	}
+	h.account(c, r)
+	h.reduce(e)
+}
+
+// account counts the successes, and starts again at a sign of cold.
+func (h *history) account(c *callTruth, r almondstep.CallResult) {
+	switch r {
+	case almondstep.CallDone:
+		if !c.start.Proof {
+			h.proven++
+		}
+	case almondstep.CallRefused, almondstep.CallBroken:
+		h.proven = 0
+	default:
+	}
+}
+
+// restart kills what runs. For a while no one listens; the list learns of it
+// when the view next changes.
+func (h *history) restart() {
+	h.boots++
+	h.downUntil = h.now.Add(downFor)
+	h.vm.Boot = almondstep.BootID(fmt.Sprint("boot", h.boots))
+	for _, c := range h.calls {
+		if c.runsUntil > h.now {
+			c.runsUntil = h.now
+		}
+		if c.open {
+			h.end(c, almondstep.CallBroken)
+		}
+	}
+	h.proven = 0
+}
+
+// changeView changes the grant, the list's word or both. The list lags: its
+// boot may be an older one.
+func (h *history) changeView() {
+	before := h.owned && h.grant == almondstep.GrantFull
+	switch h.random.below(5) {
+	case 0:
+		h.owned = !h.owned
+	case 1:
+		h.grant = almondstep.Grant(h.random.below(3))
+	case 2:
+		h.owned, h.grant = true, almondstep.GrantFull
+	case 3:
+		h.vm.State = almondstep.VMLeaving
+		if h.chance(50) {
+			h.vm.State = almondstep.VMLive
+			h.restart()
+		}
+	default:
+	}
+	after := h.owned && h.grant == almondstep.GrantFull
+	if before && !after {
+		h.lostGrantAt = h.now
+	}
+	if !before && after && h.now.Sub(h.lostGrantAt) >= almondstep.ColdAttemptTimeout {
+		h.proven = 0
+	}
+	h.renew()
+}
+
+// renew puts the present state in force. The zone's word of the upstream is
+// always that it is warm: it must not make the owner any bolder.
+func (h *history) renew() {
+	parts := almondstep.ViewParts{Self: "d1"}
+	if h.owned {
+		parts.Owned = map[almondstep.Address]almondstep.OwnedUpstream{
+			addr: almondstep.NewOwnedUpstream(h.vm, testSlots, 25, h.grant, almondstep.Warm),
+		}
+	}
+	h.view = almondstep.NewView(parts)
+	h.reduce(&almondstep.ViewChanged{})
+}
+
+// splitmix is a small seeded generator.
+type splitmix uint64
+
+func (s *splitmix) next() uint64 {
+	*s += 0x9e3779b97f4a7c15
+	z := uint64(*s)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (s *splitmix) below(n int) int { return int(s.next() % uint64(n)) }
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -29,6 +29,7 @@
 	u.suspect(t, up, e.Result)
 	up.calls = slices.Delete(up.calls, i, i+1)
 	up.haunt(t.now, en, e.Result)
+	up.noteAnswer(t.now, e)
 	u.noteBoot(t, up, e.Boot)
 	up.acquit(en, e)
 	u.learn(t, up, en, e)
@@ -37,6 +38,15 @@
 	u.settle(t, up)
 }
 
+// noteAnswer notes when the upstream last answered.
+func (up *upstream) noteAnswer(now almondstep.Instant, e *almondstep.AttemptEnded) {
+	switch e.Result {
+	case almondstep.CallDone, almondstep.CallShed, almondstep.CallRejected, almondstep.CallWrongVersion:
+		up.answeredAt = now
+	default:
+	}
+}
+
 // haunt remembers a request that this daemon no longer waits for and that may
 // still run at the upstream.
 func (up *upstream) haunt(now almondstep.Instant, en *entry, r almondstep.CallResult) {
--- a/limiter/starts.go
+++ b/limiter/starts.go
@@ -39,7 +39,7 @@
 }
 
 func (u *Upstreams) start(t *turn, up *upstream, en *entry, timeout time.Duration) {
-	if up.warmth.temperature != almondstep.Warm {
+	if !up.surelyWarm(t.now) {
 		timeout = min(timeout, almondstep.ColdAttemptTimeout)
 	}
 	u.register(t, up, en, timeout)
@@ -162,12 +162,13 @@
 // never.
 func (up *upstream) wakeAt(now almondstep.Instant) almondstep.Instant {
 	at := up.queue.earliest()
-	if !up.owned || (up.queue.count > 0 && len(up.ghosts) > 0) {
+	lost := up.warmth.temperature == almondstep.Lost
+	if !up.owned || lost || up.queue.count > 0 {
 		for _, end := range up.ghosts {
 			at = sooner(at, end)
 		}
 	}
-	if up.pauseUntil > now && (up.queue.count > 0 || up.warmth.temperature == almondstep.Lost) {
+	if up.pauseUntil > now && (up.queue.count > 0 || lost) {
 		at = sooner(at, up.pauseUntil)
 	}
 	return at
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -40,6 +40,7 @@
 
 	timerAt    almondstep.Instant
 	pauseUntil almondstep.Instant
+	answeredAt almondstep.Instant
 	proofs     int
 	lastShard  almondstep.Shard
 	lastVer    almondstep.Version
@@ -55,6 +56,9 @@
 	// gapUntilCold is how long the full grant may be away without a new proof of
 	// warmth. No other daemon gets the grant in less.
 	gapUntilCold = almondstep.ColdAttemptTimeout
+	// freshFor is how long an answer vouches for the upstream. After that it may
+	// have restarted unseen, and gets one request before it gets more.
+	freshFor = 250 * time.Millisecond
 	// bootsKept is how many former boots of an upstream are remembered.
 	bootsKept = 8
 )
@@ -191,10 +195,6 @@
 	if known {
 		up.rememberBoot(up.boot)
 	}
-	if !slices.Contains(up.oldBoots, boot) {
-		// What ran in the former process has ended with it.
-		up.ghosts = up.ghosts[:0]
-	}
 	up.boot = boot
 	if !known {
 		return
@@ -241,7 +241,7 @@
 	up.ghosts = slices.DeleteFunc(up.ghosts, func(end almondstep.Instant) bool {
 		return end <= now
 	})
-	if up.warmth.temperature == almondstep.Warm && up.grant == almondstep.GrantFull {
+	if up.surelyWarm(now) {
 		return len(up.calls)
 	}
 	return len(up.calls) + len(up.ghosts)
@@ -250,8 +250,19 @@
 // mayStart says whether one more request may be sent.
 func (up *upstream) mayStart(now almondstep.Instant) bool {
 	capacity := up.warmth.capacity()
-	if up.grant == almondstep.GrantWarmOnly {
+	if up.grant != almondstep.GrantFull || !up.fresh(now) {
 		capacity = min(capacity, 1)
 	}
 	return up.busy(now) < capacity && up.pauseUntil <= now
 }
+
+// fresh says whether the last answer still vouches for the upstream.
+func (up *upstream) fresh(now almondstep.Instant) bool {
+	return now.Sub(up.answeredAt) < freshFor
+}
+
+// surelyWarm says that nothing speaks for treating the upstream as a cold one.
+func (up *upstream) surelyWarm(now almondstep.Instant) bool {
+	warm := up.warmth.temperature == almondstep.Warm
+	return warm && up.grant == almondstep.GrantFull && up.fresh(now)
+}
--- a/limiter/warmth.go
+++ b/limiter/warmth.go
@@ -42,14 +42,17 @@
 }
 
 const (
-	// latencyWeight and baselineWeight are the parts an answer has in the
-	// averages: one eighth and one sixty-fourth.
-	latencyWeight  = 8
+	// latencyWeight, paceWeight and baselineWeight are the parts an answer has in
+	// the averages: one fourth, one sixteenth and one sixty-fourth.
+	latencyWeight  = 4
+	paceWeight     = 16
 	baselineWeight = 64
 	shedWeight     = 1.0 / 16
 	// boundOverPace is how many times slower than its service's warm upstreams
 	// an answer may be and still count as a success.
 	boundOverPace = 4
+	// driftOverBaseline is how many times the baseline an answer may pull it to.
+	driftOverBaseline = 2
 	// boundFloor is added to the latency bound for the jitter of fast services.
 	boundFloor = 2 * time.Millisecond
 	// firstBound is the latency bound of a service without any warm upstream.
@@ -125,7 +128,8 @@
 	w.sheds = 0
 	w.shedRate -= w.shedRate * shedWeight
 	w.latency = average(w.latency, took, latencyWeight)
-	w.baseline = average(w.baseline, took, baselineWeight)
+	// A step moves the baseline no faster than a drift, so that it shows.
+	w.baseline = average(w.baseline, min(took, driftOverBaseline*w.baseline+boundFloor), baselineWeight)
 	switch w.temperature {
 	case almondstep.Cold:
 		// The pace follows cold upstreams slowly, so that a service that has
@@ -135,7 +139,7 @@
 		}
 		w.coldSuccess(took <= bound, round)
 	case almondstep.Warm:
-		p.latency = average(p.latency, took, latencyWeight*latencyWeight)
+		p.latency = average(p.latency, took, paceWeight)
 		w.limit = min(float64(w.slots), w.limit+1/w.limit)
 		w.checkStep()
 	default:
