Control partition: ranker, prober, controller, thin but whole

Cause: nothing decided who owns an upstream, who lives and which view the traffic threads read.

Change: ranker orders daemons by rendezvous hashing. prober probes, suspects, spreads rumors, and keeps the witnesses' vouching and verdicts. controller holds the documents (whole editions for now), marks upstreams, quarantines requests, weighs grants and publishes views. In the root package: Digest.Zones, which passes on when a daemon of another zone confirmed the configuration; OwnedUpstream.GrantUntil, after which nothing is started under a grant; and View.Stopping. All are additions.

Behaviour under failure is tested next; nothing is claimed of it here.

--- /dev/null
+++ b/controller/placements.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+
+	"almondstep"
+	"almondstep/ranker"
+)
+
+// partitioning is one way a service's records are cut, at one version.
+type partitioning struct {
+	service almondstep.ServiceName
+	version almondstep.Version
+	of      uint32
+}
+
+// place lists who serves each shard of each service and version. Upstreams that
+// get no new work are left out: those leaving, in a zone that is out, without a
+// live owner, or in a zone whose configuration can't be confirmed.
+func (c *Control) place(now almondstep.Instant) map[almondstep.ServiceName][]almondstep.Placement {
+	tables := make(map[partitioning][][]almondstep.Replica)
+	var keys []partitioning
+	self := ranker.Hash(string(c.cfg.Self))
+	open := c.openZones(now)
+	for i := range c.fleet.Upstreams {
+		vm := &c.fleet.Upstreams[i]
+		if _, ok := c.catalog.Service(vm.Service); !ok {
+			continue
+		}
+		r, ok := c.replica(vm, open)
+		for _, h := range vm.Holdings {
+			key := partitioning{service: vm.Service, version: h.Version, of: h.Of}
+			table := tables[key]
+			if table == nil {
+				table = make([][]almondstep.Replica, h.Of)
+				tables[key] = table
+				keys = append(keys, key)
+			}
+			for _, s := range h.Shards {
+				if ok && s < h.Of {
+					table[s] = append(table[s], r)
+				}
+			}
+		}
+	}
+	return collect(keys, tables, self)
+}
+
+// openZones are the zones that new work may be sent to.
+func (c *Control) openZones(now almondstep.Instant) map[almondstep.ZoneName]bool {
+	open := make(map[almondstep.ZoneName]bool, len(c.zones))
+	for _, z := range c.zones {
+		open[z] = !c.catalog.ZoneOut(z) && c.fresh(now, z)
+	}
+	return open
+}
+
+func (c *Control) replica(vm *almondstep.UpstreamVM, open map[almondstep.ZoneName]bool) (almondstep.Replica, bool) {
+	if !open[vm.Zone] || c.marks.leaving(vm.Addr) {
+		return almondstep.Replica{}, false
+	}
+	r := c.rankers[vm.Zone]
+	if vm.Zone == c.cfg.Zone {
+		r = c.rank
+	}
+	if r == nil {
+		return almondstep.Replica{}, false
+	}
+	owner := r.First(string(vm.Addr), c.prober.Routable)
+	if owner == "" {
+		return almondstep.Replica{}, false
+	}
+	return almondstep.NewReplica(vm.Addr, vm.Zone, owner, c.marks.forRouting(vm.Addr), c.cfg.Distances[vm.Zone]), true
+}
+
+// collect orders placements newest first, and replicas nearest first. Among
+// replicas as near, each daemon prefers others, so that they share the load.
+func collect(keys []partitioning, tables map[partitioning][][]almondstep.Replica, self uint64) map[almondstep.ServiceName][]almondstep.Placement {
+	slices.SortFunc(keys, func(a, b partitioning) int {
+		if d := cmp.Compare(b.version, a.version); d != 0 {
+			return d
+		}
+		return cmp.Compare(b.of, a.of)
+	})
+	placements := make(map[almondstep.ServiceName][]almondstep.Placement)
+	for _, key := range keys {
+		table := tables[key]
+		for i := range table {
+			orderReplicas(table[i], self)
+		}
+		placements[key.service] = append(placements[key.service], almondstep.NewPlacement(key.version, key.of, table))
+	}
+	return placements
+}
+
+func orderReplicas(replicas []almondstep.Replica, self uint64) {
+	slices.SortFunc(replicas, func(a, b almondstep.Replica) int {
+		if d := cmp.Compare(a.Distance(), b.Distance()); d != 0 {
+			return d
+		}
+		return cmp.Compare(ranker.Hash(string(a.Upstream()))^self, ranker.Hash(string(b.Upstream()))^self)
+	})
+}
--- /dev/null
+++ b/controller/publish.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+// rebuildEvery bounds how often all placements are worked out anew for changes
+// that may wait a moment, such as an upstream that has turned warm.
+const rebuildEvery = 500 * time.Millisecond
+
+// viewCache has the parts of the last view, so that a change of one part doesn't
+// cost the others.
+type viewCache struct {
+	// dirty says that a small part has changed.
+	dirty bool
+	// placementsDirty says that who serves what may have changed.
+	placementsDirty bool
+	// placementsOld says the same of a change that may wait for rebuildEvery.
+	placementsOld bool
+	rebuiltAt     almondstep.Instant
+	placements    map[almondstep.ServiceName][]almondstep.Placement
+	peers         map[almondstep.DaemonID]almondstep.Address
+	peersOf       almondstep.Revision
+	relays        []almondstep.DaemonID
+	open          map[almondstep.ZoneName]bool
+	published     bool
+}
+
+// publish makes a view if one of its parts has changed.
+func (c *Control) publish(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if c.fleet == nil {
+		return c.publishIfDirty(out)
+	}
+	if c.prober.TakeChanged() {
+		c.rankOwned()
+		c.electRelays()
+		c.view.placementsDirty = true
+	}
+	if c.weighGrants(now) || c.extended(now) {
+		c.view.dirty = true
+	}
+	if c.catalog == nil {
+		return c.publishIfDirty(out)
+	}
+	c.checkZones(now)
+	old := c.view.placementsOld && now.Sub(c.view.rebuiltAt) >= rebuildEvery
+	if c.view.placementsDirty || old {
+		c.rebuild(now)
+	}
+	return c.publishIfDirty(out)
+}
+
+// extended says whether the grants now end so much later that the traffic
+// threads must be told.
+func (c *Control) extended(now almondstep.Instant) bool {
+	until, shown := c.ownership.until, c.ownership.shown
+	if until <= shown {
+		return false
+	}
+	return until.Sub(shown) >= extendBy || shown.Sub(now) < extendBy
+}
+
+// checkZones looks for zones that have become fresh or stale.
+func (c *Control) checkZones(now almondstep.Instant) {
+	open := c.openZones(now)
+	for _, z := range c.zones {
+		if open[z] != c.view.open[z] {
+			c.view.placementsDirty = true
+		}
+	}
+	c.view.open = open
+}
+
+func (c *Control) rebuild(now almondstep.Instant) {
+	c.view.placementsDirty = false
+	c.view.placementsOld = false
+	c.view.rebuiltAt = now
+	c.view.placements = c.place(now)
+	c.view.dirty = true
+}
+
+// electRelays names the live daemons of the zone that watch the platform.
+func (c *Control) electRelays() {
+	c.view.relays = c.view.relays[:0]
+	for _, id := range c.rank.Relays(c.cfg.Zone, c.rank.Len()) {
+		if c.prober.Routable(id) && len(c.view.relays) < relaysPerZone {
+			c.view.relays = append(c.view.relays, id)
+		}
+	}
+}
+
+func (c *Control) publishIfDirty(out []almondstep.Effect) []almondstep.Effect {
+	if !c.view.dirty && c.view.published {
+		return out
+	}
+	c.view.dirty = false
+	c.view.published = true
+	return append(out, &almondstep.PublishView{View: c.makeView()})
+}
+
+func (c *Control) makeView() *almondstep.View {
+	c.ownership.shown = c.ownership.until
+	return almondstep.NewView(almondstep.ViewParts{
+		Self:        c.cfg.Self,
+		Zone:        c.cfg.Zone,
+		Revision:    c.revision,
+		Catalog:     c.catalog,
+		Unready:     c.unready(),
+		Placements:  c.view.placements,
+		Owned:       c.ownedUpstreams(),
+		Quarantined: c.quarantine.prints,
+		Peers:       c.peers(),
+		Stopping:    c.stopping,
+	})
+}
+
+// peers gives the addresses of all daemons of the list; it is made anew only
+// with a new list.
+func (c *Control) peers() map[almondstep.DaemonID]almondstep.Address {
+	if c.fleet != nil && c.view.peersOf != c.fleet.Revision {
+		c.view.peers = c.prober.Peers()
+		c.view.peersOf = c.fleet.Revision
+	}
+	return c.view.peers
+}
+
+// unready says why callers should not be sent here.
+func (c *Control) unready() string {
+	switch {
+	case c.stopping:
+		return "stopping"
+	case c.catalog == nil:
+		return "no configuration"
+	case c.fleet == nil:
+		return "no list of VMs"
+	case c.catalog.ZoneOut(c.cfg.Zone):
+		return "zone " + string(c.cfg.Zone) + " is out of service"
+	case c.prober.Left():
+		return "leaving"
+	}
+	return ""
+}
--- a/message_control.go
+++ b/message_control.go
@@ -110,6 +110,16 @@
 	// Gone lists daemons of the zone that the sender, one of their witnesses,
 	// no longer vouches for and will not again in that incarnation.
 	Gone []GoneDaemon `json:"gone,omitempty"`
+	// Zones says how long ago a daemon of each other zone showed that it holds
+	// no newer configuration than the sender.
+	Zones []ZoneConfirmation `json:"zones,omitempty"`
+}
+
+// ZoneConfirmation says how long ago a daemon of a zone confirmed the
+// configuration, counted over all daemons the word has passed through.
+type ZoneConfirmation struct {
+	Zone ZoneName      `json:"zone"`
+	Age  time.Duration `json:"age"`
 }
 
 // GoneDaemon is a daemon whose witness has let its vouching lapse.
--- /dev/null
+++ b/prober/digest.go
@@ -0,0 +1,95 @@
+package prober
+
+import "almondstep"
+
+// goneMax bounds the verdicts in one digest.
+const goneMax = 16
+
+// digest describes this daemon to m; m may be nil.
+func (p *Prober) digest(now almondstep.Instant, m *member) almondstep.Digest {
+	d := almondstep.Digest{
+		From:        p.cfg.Self,
+		Addr:        p.cfg.Addr,
+		Zone:        p.cfg.Zone,
+		Incarnation: p.incarnation,
+		Rumors:      p.queue.take(p.tellLimit()),
+	}
+	if p.cfg.Describe != nil {
+		d.Documents, d.Zones = p.cfg.Describe(now)
+	}
+	if m == nil {
+		return d
+	}
+	if m.accused != 0 && m.accused == m.incarnation && !m.hasLeft {
+		d.Rumors = append(d.Rumors, p.accusation(m))
+	}
+	if m.zone == p.cfg.Zone {
+		d.Gone = p.goneList(m)
+	}
+	return d
+}
+
+// accusation tells a member that it was called suspect or dead, so that it can
+// refute with a higher incarnation.
+func (p *Prober) accusation(m *member) almondstep.Rumor {
+	r := p.rumorOf(m)
+	r.Member = almondstep.MemberSuspect
+	return r
+}
+
+// goneList names the daemons that this one no longer vouches for; if the
+// receiver is among them, it comes first.
+func (p *Prober) goneList(to *member) []almondstep.GoneDaemon {
+	var gone []almondstep.GoneDaemon
+	if to.saidGone != 0 {
+		gone = append(gone, goneDaemon(to))
+	}
+	for _, m := range p.all {
+		if m != to && m.saidGone != 0 && m.listed && !m.hasLeft && len(gone) < goneMax {
+			gone = append(gone, goneDaemon(m))
+		}
+	}
+	return gone
+}
+
+func goneDaemon(m *member) almondstep.GoneDaemon {
+	return almondstep.GoneDaemon{Daemon: m.id, Incarnation: newEpoch(m.saidGone)}
+}
+
+// absorb takes what a digest says of daemons. Rumors about upstreams and
+// requests are the controller's.
+func (p *Prober) absorb(now almondstep.Instant, d *almondstep.Digest) {
+	if d.From == p.cfg.Self {
+		return
+	}
+	m := p.ensure(now, d.From, d.Addr, d.Zone)
+	if epochOf(d.Incarnation) >= epochOf(m.incarnation) && !m.hasLeft {
+		p.alive(now, m, d.Incarnation)
+	}
+	for i := range d.Rumors {
+		if d.Rumors[i].Kind == almondstep.RumorMember {
+			p.hearMember(now, &d.Rumors[i])
+		}
+	}
+	p.hearGone(now, m, d)
+}
+
+// alive takes a message from the member itself as evidence. Only a higher
+// incarnation refutes the suspicion for others.
+func (p *Prober) alive(now almondstep.Instant, m *member, incarnation uint64) {
+	refutes := incarnation > m.incarnation
+	m.learn(now, incarnation)
+	if p.turn(now, m, almondstep.MemberAlive) && refutes {
+		p.announce(m, false)
+	}
+}
+
+// fleetRevision is the revision of the list of VMs that the sender holds.
+func fleetRevision(d *almondstep.Digest) almondstep.Revision {
+	for _, s := range d.Documents {
+		if s.Name == almondstep.DocumentFleet {
+			return s.Revision
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/prober/verdict.go
@@ -0,0 +1,98 @@
+package prober
+
+import (
+	"slices"
+
+	"almondstep"
+)
+
+// inquiriesPerTick bounds the probes by which a deputy asks for a verdict.
+const inquiriesPerTick = 2
+
+// judge makes the verdict on a member final for its epoch if a quorum of its
+// witnesses has said Gone.
+func (p *Prober) judge(m *member) {
+	epoch := max(epochOf(m.incarnation), 1)
+	if m.gone >= epoch {
+		return
+	}
+	w := p.witnessesOf(m.id)
+	if p.saying(m, epoch, w) >= quorum(len(w)) {
+		m.gone = epoch
+		p.changed = true
+	}
+}
+
+// saying counts the witnesses that say Gone of an epoch.
+func (p *Prober) saying(m *member, epoch uint64, witnesses []almondstep.DaemonID) int {
+	n := 0
+	for _, id := range witnesses {
+		said := m.goneBy[id]
+		if id == p.cfg.Self {
+			said = m.saidGone
+		}
+		if said >= epoch {
+			n++
+		}
+	}
+	return n
+}
+
+// Cleared says whether a daemon can't hold a grant any more: a quorum of its
+// witnesses says Gone, or it has left and its last requests have ended. The
+// zone's lease stands in for one missing vote, for as long as it is held.
+func (p *Prober) Cleared(now almondstep.Instant, id almondstep.DaemonID) bool {
+	m := p.members[id]
+	if m == nil {
+		return true
+	}
+	if m.hasLeft {
+		return now.Sub(m.leftAt) >= GoneMargin
+	}
+	epoch := max(epochOf(m.incarnation), 1)
+	if m.gone >= epoch {
+		return true
+	}
+	w := p.witnessesOf(id)
+	return p.leaseCounts(now, len(w)) && p.saying(m, epoch, w)+1 >= quorum(len(w))
+}
+
+// Acknowledged says whether a daemon has known this daemon's epoch for so long
+// that what it may have sent before has ended.
+func (p *Prober) Acknowledged(now almondstep.Instant, id almondstep.DaemonID) bool {
+	m := p.members[id]
+	if m == nil || id == p.cfg.Self {
+		return true
+	}
+	return m.ackEpoch == p.epoch() && now.Sub(m.ackAt) >= GoneMargin
+}
+
+// Epoch numbers the times this daemon has begun the ownership rules anew.
+func (p *Prober) Epoch() uint64 { return p.epoch() }
+
+// SetBlockers names the daemons whose verdict this daemon waits for.
+func (p *Prober) SetBlockers(ids []almondstep.DaemonID) { p.blockers = ids }
+
+// inquire asks the witnesses of the daemons that block a grant here.
+func (p *Prober) inquire(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	asked := 0
+	for _, id := range p.blockers {
+		for _, w := range p.witnessesOf(id) {
+			m := p.members[w]
+			if asked == inquiriesPerTick {
+				return out
+			}
+			if m == nil || w == id || !p.shouldAsk(now, m) {
+				continue
+			}
+			m.nextInquiry = now.Add(ProbeEvery)
+			out = p.send(now, m, slices.Contains(p.witnesses, w), out)
+			asked++
+		}
+	}
+	return out
+}
+
+func (p *Prober) shouldAsk(now almondstep.Instant, m *member) bool {
+	return now >= m.nextInquiry && !m.probe.open && m.state == almondstep.MemberAlive
+}
--- /dev/null
+++ b/prober/vouch.go
@@ -0,0 +1,169 @@
+package prober
+
+import (
+	"slices"
+
+	"almondstep"
+)
+
+// forever is the expiry of a vote that doesn't lapse.
+const forever = almondstep.Instant(1<<63 - 1)
+
+// renewals a tick sends to zone mates that haven't acknowledged this epoch.
+const greetingsPerTick = 2
+
+func (p *Prober) epoch() uint64 { return epochOf(p.incarnation) }
+
+// renew asks the witnesses to vouch on. While the quorum is missing it asks
+// more often.
+func (p *Prober) renew(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if p.left {
+		return out
+	}
+	every := RenewEvery
+	if _, ok := p.VouchedUntil(now); !ok {
+		every = RetryEvery
+	}
+	for _, id := range p.witnesses {
+		m := p.members[id]
+		if m == nil || m.probe.open || m.hasLeft {
+			continue
+		}
+		if now < m.nextRenew && m.nextRenew.Sub(now) <= every {
+			continue
+		}
+		m.nextRenew = now.Add(every)
+		out = p.send(now, m, true, out)
+	}
+	return out
+}
+
+// greet makes this daemon's epoch known to all daemons of its zone, so that
+// those ranked below it stop.
+func (p *Prober) greet(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if p.left {
+		return out
+	}
+	greeted := 0
+	for _, m := range p.all {
+		if greeted == greetingsPerTick {
+			break
+		}
+		if m.zone != p.cfg.Zone || m.ackEpoch == p.epoch() || m.gone != 0 && m.gone >= epochOf(m.incarnation) {
+			continue
+		}
+		if m.probe.open || m.hasLeft || now < m.nextRenew {
+			continue
+		}
+		m.nextRenew = now.Add(RenewEvery)
+		out = p.send(now, m, p.isOwnWitness(m.id), out)
+		greeted++
+	}
+	return out
+}
+
+func (p *Prober) isOwnWitness(id almondstep.DaemonID) bool {
+	return slices.Contains(p.witnesses, id)
+}
+
+// acknowledged takes the answer to a probe: the peer knows the epoch the probe
+// carried, and may vouch for it. The vouching counts from when it was asked for.
+func (p *Prober) acknowledged(now almondstep.Instant, m *member, sent outstanding, d *almondstep.Digest) {
+	if !sent.open || epochOf(sent.incarnation) != p.epoch() || d == nil {
+		return
+	}
+	if m.ackEpoch != p.epoch() {
+		m.ackEpoch = p.epoch()
+		m.ackAt = now
+	}
+	if fleetRevision(d) >= p.listedAt && p.listed {
+		m.knowsMe = true
+		p.admit(now)
+	}
+	if sent.renews && d.Vouches && fleetRevision(d) <= p.fleet {
+		m.vouchEpoch = p.epoch()
+		m.vouchUntil = max(m.vouchUntil, sent.sentAt.Add(almondstep.WitnessTTL))
+	}
+}
+
+// admit makes this daemon a voter once a quorum of its witnesses, itself not
+// counted, holds a list of VMs that names it. Otherwise a newcomer and the
+// daemons that know it could outvote a majority that doesn't.
+func (p *Prober) admit(now almondstep.Instant) {
+	if p.admitted || !p.listed {
+		return
+	}
+	others, know := 0, 0
+	for _, id := range p.witnesses {
+		m := p.members[id]
+		if m == nil {
+			continue
+		}
+		others++
+		if m.knowsMe {
+			know++
+		}
+	}
+	if know >= min(quorum(len(p.witnesses)), others) {
+		p.admitted = true
+		p.admittedAt = now
+	}
+}
+
+// VouchedUntil tells until when a quorum vouches for this daemon, and whether
+// one does now.
+func (p *Prober) VouchedUntil(now almondstep.Instant) (almondstep.Instant, bool) {
+	if !p.listed || p.left {
+		return 0, false
+	}
+	var votes []almondstep.Instant
+	for _, id := range p.witnesses {
+		if until := p.voteOf(id); until > now {
+			votes = append(votes, until)
+		}
+	}
+	if p.leaseCounts(now, len(p.witnesses)) {
+		votes = append(votes, p.lease.until)
+	}
+	need := quorum(len(p.witnesses))
+	if len(votes) < need {
+		return 0, false
+	}
+	slices.Sort(votes)
+	return votes[len(votes)-need], true
+}
+
+func (p *Prober) voteOf(id almondstep.DaemonID) almondstep.Instant {
+	if id == p.cfg.Self {
+		if p.admitted {
+			return forever
+		}
+		return 0
+	}
+	m := p.members[id]
+	if m == nil || m.vouchEpoch != p.epoch() {
+		return 0
+	}
+	return m.vouchUntil
+}
+
+// reconsiderSelf begins a new epoch when so many witnesses have said Gone of
+// the present one that it can't have a quorum again.
+func (p *Prober) reconsiderSelf(now almondstep.Instant) {
+	p.admit(now)
+	refused := 0
+	for _, id := range p.witnesses {
+		if m := p.members[id]; m != nil && m.refused >= p.epoch() {
+			refused++
+		}
+	}
+	if refused <= len(p.witnesses)-quorum(len(p.witnesses)) {
+		return
+	}
+	p.incarnation = newEpoch(p.epoch() + 1)
+	p.changed = true
+	p.Spread(p.selfRumor(), true)
+	for _, m := range p.all {
+		m.nextRenew = 0
+	}
+}
--- /dev/null
+++ b/ranker/ranker.go
@@ -0,0 +1,137 @@
+// Package ranker orders daemons by rendezvous hashing.
+//
+// Every daemon must name the same owner for an upstream without asking anyone,
+// and a daemon that comes or goes must move only its own share. Rendezvous
+// hashing gives both: each (key, daemon) pair has a score, and the daemon with
+// the highest score comes first. When it goes, the second takes over, and no
+// other key moves.
+//
+// For example, three daemons ranked for one upstream:
+//
+//	r := ranker.New([]almondstep.DaemonID{"a", "b", "c"})
+//	r.Order("10.0.0.9:80")      // [b a c]: b owns it, a is the first deputy
+package ranker
+
+import (
+	"cmp"
+	"slices"
+
+	"almondstep"
+)
+
+// Ranker ranks a fixed set of daemons. It is immutable.
+type Ranker struct {
+	ids    []almondstep.DaemonID
+	hashes []uint64
+}
+
+// New gives a ranker of the daemons, whatever their order.
+func New(ids []almondstep.DaemonID) *Ranker {
+	r := &Ranker{ids: slices.Clone(ids)}
+	slices.Sort(r.ids)
+	r.ids = slices.Compact(r.ids)
+	r.hashes = make([]uint64, len(r.ids))
+	for i, id := range r.ids {
+		r.hashes[i] = Hash(string(id))
+	}
+	return r
+}
+
+// Len is the number of daemons.
+func (r *Ranker) Len() int { return len(r.ids) }
+
+// IDs lists the daemons in the order of their names. The caller must not change it.
+func (r *Ranker) IDs() []almondstep.DaemonID { return r.ids }
+
+// Order lists all daemons for a key, best first.
+func (r *Ranker) Order(key string) []almondstep.DaemonID {
+	h := Hash(key)
+	order := make([]int, len(r.ids))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return r.compare(h, a, b) })
+	ids := make([]almondstep.DaemonID, len(order))
+	for i, j := range order {
+		ids[i] = r.ids[j]
+	}
+	return ids
+}
+
+// First finds the best daemon for a key among those that accept admits; empty
+// if there is none. It sorts nothing, so it is the cheap way to find an owner.
+func (r *Ranker) First(key string, accept func(almondstep.DaemonID) bool) almondstep.DaemonID {
+	h := Hash(key)
+	best := -1
+	for i, id := range r.ids {
+		if best >= 0 && r.compare(h, best, i) < 0 {
+			continue
+		}
+		if accept(id) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return r.ids[best]
+}
+
+// compare is negative if daemon a comes before daemon b for the key's hash.
+func (r *Ranker) compare(key uint64, a, b int) int {
+	if c := cmp.Compare(score(key, r.hashes[b]), score(key, r.hashes[a])); c != 0 {
+		return c
+	}
+	return cmp.Compare(a, b)
+}
+
+// Relays lists the n daemons of a zone that watch the platform for the others.
+func (r *Ranker) Relays(zone almondstep.ZoneName, n int) []almondstep.DaemonID {
+	order := r.Order("relay/" + string(zone))
+	return order[:min(n, len(order))]
+}
+
+// Home is the daemon that writes the claims of a bucket, such as "claims/7".
+func (r *Ranker) Home(bucket string, accept func(almondstep.DaemonID) bool) almondstep.DaemonID {
+	return r.First("home/"+bucket, accept)
+}
+
+// Hash is the 64-bit FNV-1a hash of s, mixed so that near names lie far apart.
+func Hash(s string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := range len(s) {
+		h ^= uint64(s[i])
+		h *= prime
+	}
+	return mix(h)
+}
+
+func score(key, daemon uint64) uint64 { return mix(key ^ daemon) }
+
+// mix is the finalizer of splitmix64.
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	h ^= h >> 31
+	return h
+}
+
+// Above counts the daemons that come before id for a key, without the one
+// excluded.
+func (r *Ranker) Above(key string, id, excluded almondstep.DaemonID) int {
+	h := Hash(key)
+	at, found := slices.BinarySearch(r.ids, id)
+	if !found {
+		return len(r.ids)
+	}
+	n := 0
+	for i, o := range r.ids {
+		if o != excluded && r.compare(h, i, at) < 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/view.go
+++ b/view.go
@@ -14,6 +14,7 @@
 	owned       map[Address]OwnedUpstream
 	quarantined map[Fingerprint]struct{}
 	peers       map[DaemonID]Address
+	stopping    bool
 }
 
 // Placement says who serves the shards of one service at one version.
@@ -54,6 +55,7 @@
 	grant       Grant
 	leaving     bool
 	temperature Temperature
+	grantUntil  Instant
 }
 
 // Grant says how far an owner may use an upstream.
@@ -106,6 +108,16 @@
 // a new owner more careful, or let it use a warm upstream under GrantWarmOnly.
 func (o OwnedUpstream) Temperature() Temperature { return o.temperature }
 
+// GrantUntil is when a GrantFull ends unless a newer view extends it. Nothing is
+// started under it from then on, also if the control thread is paused.
+func (o OwnedUpstream) GrantUntil() Instant { return o.grantUntil }
+
+// WithGrantUntil gives the same upstream with the instant its grant ends.
+func (o OwnedUpstream) WithGrantUntil(until Instant) OwnedUpstream {
+	o.grantUntil = until
+	return o
+}
+
 // Leaving says that the upstream gets no new work.
 func (o OwnedUpstream) Leaving() bool { return o.leaving }
 
@@ -120,6 +132,8 @@
 	Owned       map[Address]OwnedUpstream
 	Quarantined map[Fingerprint]struct{}
 	Peers       map[DaemonID]Address
+	// Stopping refuses forwarded work that is new.
+	Stopping bool
 }
 
 // NewView freezes the parts into a view. The caller must not change them after.
@@ -136,6 +150,7 @@
 		owned:       p.Owned,
 		quarantined: p.Quarantined,
 		peers:       p.Peers,
+		stopping:    p.Stopping,
 	}
 }
 
@@ -157,6 +172,10 @@
 // Unready says why callers should not be sent here; empty if they should.
 func (v *View) Unready() string { return v.unready }
 
+// Stopping says that the daemon is shutting down: forwarded work that is new is
+// refused, and what is under way is finished.
+func (v *View) Stopping() bool { return v.stopping }
+
 // Placements lists who serves a service, newest version first. The caller must
 // not change it.
 func (v *View) Placements(s ServiceName) []Placement { return v.placements[s] }
