--- a/controller/controller.go
+++ b/controller/controller.go
@@ -62,6 +62,7 @@
 	c.freshness.init()
 	c.ownership.init()
 	c.rank = ranker.New(nil)
+	c.view.open = make(map[almondstep.ZoneName]bool)
 	c.docs = newHolder(cfg.Seed)
 	c.prober = prober.New(prober.Config{
 		Self:     cfg.Self,
--- /dev/null
+++ b/controller/exclusive_test.go
@@ -0,0 +1,181 @@
+package controller_test
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"testing"
+	"time"
+
+	"almondstep"
+)
+
+// historiesPerSize is the number of random histories for each fleet size. The
+// environment variable HISTORIES asks for more.
+const historiesPerSize = 500
+
+// TestMain lets garbage wait: the histories make much and keep little.
+func TestMain(m *testing.M) {
+	const percent = 800
+	debug.SetGCPercent(percent)
+	os.Exit(m.Run())
+}
+
+// Two daemons never load one upstream fully at once, whatever fails: a grant
+// counts until ColdAttemptTimeout after its end, since a request may still run.
+func TestGrantIsExclusiveOverRandomFailures(t *testing.T) {
+	histories := historiesPerSize
+	if n, err := strconv.Atoi(os.Getenv("HISTORIES")); err == nil {
+		histories = n
+	}
+	for _, n := range []int{2, 3, 5, 9} {
+		for part := range 4 {
+			t.Run(fmt.Sprintf("daemons=%d/part=%d", n, part), func(t *testing.T) {
+				t.Parallel()
+				granted := 0
+				for i := range (histories + 3) / 4 {
+					h := newHistory(uint64(1000*n+4*i+part), n)
+					if got := h.run(); got != "" {
+						t.Fatalf("seed %d: %s", 1000*n+4*i+part, got)
+					}
+					granted += h.handovers
+				}
+				if granted == 0 {
+					t.Error("no upstream ever changed hands: the histories show nothing")
+				}
+			})
+		}
+	}
+}
+
+// history is one random course of failures.
+type history struct {
+	*fleet
+	started int
+	// last is when a daemon last could have a request at an upstream.
+	last      map[almondstep.Address]map[almondstep.DaemonID]time.Duration
+	owner     map[almondstep.Address]almondstep.DaemonID
+	handovers int
+}
+
+func newHistory(seed uint64, n int) *history {
+	return &history{
+		fleet:   zoneOf(seed, n, 3),
+		started: n,
+		last:    make(map[almondstep.Address]map[almondstep.DaemonID]time.Duration),
+		owner:   make(map[almondstep.Address]almondstep.DaemonID),
+	}
+}
+
+// run plays the history and returns what went wrong.
+func (h *history) run() string {
+	const steps = 24
+	h.runFor(time.Duration(h.below(5000)) * time.Millisecond)
+	for range steps {
+		h.act()
+		end := h.now + time.Duration(100+h.below(2400))*time.Millisecond
+		for h.now < end {
+			h.runFor(20 * time.Millisecond)
+			if s := h.check(); s != "" {
+				return s
+			}
+		}
+	}
+	return ""
+}
+
+func (h *history) check() string {
+	for _, u := range h.list.Upstreams {
+		last := h.last[u.Addr]
+		if last == nil {
+			last = make(map[almondstep.DaemonID]time.Duration)
+			h.last[u.Addr] = last
+		}
+		for _, id := range h.ids {
+			if !h.active(h.nodes[id], u.Addr) {
+				continue
+			}
+			for other, at := range last {
+				if other != id && h.now < at+almondstep.ColdAttemptTimeout {
+					return fmt.Sprintf("at %v %s may load %s, and %s could at %v", h.now, id, u.Addr, other, at)
+				}
+			}
+			last[id] = h.now
+			if h.owner[u.Addr] != id {
+				h.owner[u.Addr] = id
+				h.handovers++
+			}
+		}
+	}
+	return ""
+}
+
+// act provokes one failure, or heals some.
+func (h *history) act() {
+	id := h.ids[h.below(len(h.ids))]
+	switch h.below(12) {
+	case 0:
+		h.cut[link{id, h.ids[h.below(len(h.ids))]}] = true
+	case 1:
+		other := h.ids[h.below(len(h.ids))]
+		h.cut[link{id, other}] = true
+		h.cut[link{other, id}] = true
+	case 2, 3:
+		h.split()
+	case 4, 5:
+		clear(h.cut)
+		h.outage = false
+	case 6:
+		h.nodes[id].paused = h.now + time.Duration(200+h.below(9000))*time.Millisecond
+	case 7:
+		h.restart(id)
+	case 8:
+		h.outage = !h.outage
+	case 9:
+		h.loss = float64(h.below(4)) / 10
+	case 10:
+		h.latency = time.Duration(1+h.below(200)) * time.Millisecond
+	case 11:
+		h.grow()
+	}
+}
+
+// split parts the daemons, and the platform with one part.
+func (h *history) split() {
+	side := make(map[almondstep.DaemonID]bool)
+	for _, id := range h.ids {
+		side[id] = h.below(2) == 0
+	}
+	for _, a := range append([]almondstep.DaemonID{platform}, h.ids...) {
+		for _, b := range h.ids {
+			if side[a] != side[b] {
+				h.cut[link{a, b}] = true
+				h.cut[link{b, a}] = true
+			}
+		}
+	}
+}
+
+// restart kills a daemon; its VM comes back under a new id, and the platform
+// takes the old one from its list some time later.
+func (h *history) restart(id almondstep.DaemonID) {
+	if h.nodes[id].dead {
+		return
+	}
+	h.nodes[id].dead = true
+	h.after(time.Duration(h.below(15000))*time.Millisecond, func() { h.unlist(id) })
+	h.after(time.Duration(h.below(4000))*time.Millisecond, h.add)
+}
+
+// grow starts one more daemon; the histories grow by two at most.
+func (h *history) grow() {
+	if live := len(h.list.Daemons); live < len(h.owner)+7 && h.started < 20 {
+		h.add()
+	}
+}
+
+func (h *history) add() {
+	h.started++
+	h.start(almondstep.DaemonID(fmt.Sprintf("d%d", h.started)), "z")
+}
--- a/controller/placements.go
+++ b/controller/placements.go
@@ -18,17 +18,16 @@
 // place lists who serves each shard of each service and version. Upstreams that
 // get no new work are left out: those leaving, in a zone that is out, without a
 // live owner, or in a zone whose configuration can't be confirmed.
-func (c *Control) place(now almondstep.Instant) map[almondstep.ServiceName][]almondstep.Placement {
+func (c *Control) place() map[almondstep.ServiceName][]almondstep.Placement {
 	tables := make(map[partitioning][][]almondstep.Replica)
 	var keys []partitioning
 	self := ranker.Hash(string(c.cfg.Self))
-	open := c.openZones(now)
 	for i := range c.fleet.Upstreams {
 		vm := &c.fleet.Upstreams[i]
 		if _, ok := c.catalog.Service(vm.Service); !ok {
 			continue
 		}
-		r, ok := c.replica(vm, open)
+		r, ok := c.replica(vm)
 		for _, h := range vm.Holdings {
 			key := partitioning{service: vm.Service, version: h.Version, of: h.Of}
 			table := tables[key]
@@ -47,17 +46,8 @@
 	return collect(keys, tables, self)
 }
 
-// openZones are the zones that new work may be sent to.
-func (c *Control) openZones(now almondstep.Instant) map[almondstep.ZoneName]bool {
-	open := make(map[almondstep.ZoneName]bool, len(c.zones))
-	for _, z := range c.zones {
-		open[z] = !c.catalog.ZoneOut(z) && c.fresh(now, z)
-	}
-	return open
-}
-
-func (c *Control) replica(vm *almondstep.UpstreamVM, open map[almondstep.ZoneName]bool) (almondstep.Replica, bool) {
-	if !open[vm.Zone] || c.marks.leaving(vm.Addr) {
+func (c *Control) replica(vm *almondstep.UpstreamVM) (almondstep.Replica, bool) {
+	if !c.view.open[vm.Zone] || c.marks.leaving(vm.Addr) {
 		return almondstep.Replica{}, false
 	}
 	r := c.rankers[vm.Zone]
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -64,20 +64,24 @@
 
 // checkZones looks for zones that have become fresh or stale.
 func (c *Control) checkZones(now almondstep.Instant) {
-	open := c.openZones(now)
 	for _, z := range c.zones {
-		if open[z] != c.view.open[z] {
+		if open := c.open(now, z); open != c.view.open[z] {
+			c.view.open[z] = open
 			c.view.placementsDirty = true
 		}
 	}
-	c.view.open = open
+}
+
+// open says whether new work may be sent to a zone.
+func (c *Control) open(now almondstep.Instant, z almondstep.ZoneName) bool {
+	return !c.catalog.ZoneOut(z) && c.fresh(now, z)
 }
 
 func (c *Control) rebuild(now almondstep.Instant) {
 	c.view.placementsDirty = false
 	c.view.placementsOld = false
 	c.view.rebuiltAt = now
-	c.view.placements = c.place(now)
+	c.view.placements = c.place()
 	c.view.dirty = true
 }
 
--- a/prober/member.go
+++ b/prober/member.go
@@ -62,10 +62,12 @@
 	saidGone     uint64
 
 	// the verdict about it
-	goneBy  map[almondstep.DaemonID]uint64
-	gone    uint64
-	leftAt  almondstep.Instant
-	hasLeft bool
+	witnesses   []almondstep.DaemonID
+	witnessesAt almondstep.Instant
+	goneBy      map[almondstep.DaemonID]uint64
+	gone        uint64
+	leftAt      almondstep.Instant
+	hasLeft     bool
 }
 
 // outstanding is the one direct probe that a member may have not answered yet.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -156,7 +156,7 @@
 		p.listedAt = f.Revision
 	}
 	p.forget(now)
-	p.rankZone()
+	p.rankZone(now)
 	p.changed = true
 }
 
@@ -186,7 +186,7 @@
 }
 
 // rankZone finds anew who vouches for whom.
-func (p *Prober) rankZone() {
+func (p *Prober) rankZone(now almondstep.Instant) {
 	var ids []almondstep.DaemonID
 	for _, m := range p.all {
 		if m.listed && m.zone == p.cfg.Zone {
@@ -200,7 +200,15 @@
 	p.witnesses = p.witnessesOf(p.cfg.Self)
 	p.charges = p.charges[:0]
 	for _, m := range p.all {
-		if m.listed && m.zone == p.cfg.Zone && p.isWitness(p.cfg.Self, m.id) {
+		if m.zone != p.cfg.Zone {
+			continue
+		}
+		w := p.witnessesOf(m.id)
+		if !slices.Equal(w, m.witnesses) {
+			m.witnesses = w
+			m.witnessesAt = now
+		}
+		if p.listed && m.listed && slices.Contains(w, p.cfg.Self) {
 			p.charges = append(p.charges, m)
 		}
 	}
--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -9,24 +9,27 @@
 // inquiriesPerTick bounds the probes by which a deputy asks for a verdict.
 const inquiriesPerTick = 2
 
+// settleFor is how long a change of a daemon's witnesses must be known before
+// they are counted: what the former ones vouched for has then ended.
+const settleFor = almondstep.WitnessTTL + GoneMargin
+
 // judge makes the verdict on a member final for its epoch if a quorum of its
 // witnesses has said Gone.
-func (p *Prober) judge(m *member) {
+func (p *Prober) judge(now almondstep.Instant, m *member) {
 	epoch := max(epochOf(m.incarnation), 1)
-	if m.gone >= epoch {
+	if m.gone >= epoch || now.Sub(m.witnessesAt) < settleFor {
 		return
 	}
-	w := p.witnessesOf(m.id)
-	if p.saying(m, epoch, w) >= quorum(len(w)) {
+	if p.saying(m, epoch) >= quorum(len(m.witnesses)) {
 		m.gone = epoch
 		p.changed = true
 	}
 }
 
 // saying counts the witnesses that say Gone of an epoch.
-func (p *Prober) saying(m *member, epoch uint64, witnesses []almondstep.DaemonID) int {
+func (p *Prober) saying(m *member, epoch uint64) int {
 	n := 0
-	for _, id := range witnesses {
+	for _, id := range m.witnesses {
 		said := m.goneBy[id]
 		if id == p.cfg.Self {
 			said = m.saidGone
@@ -49,12 +52,16 @@
 	if m.hasLeft {
 		return now.Sub(m.leftAt) >= GoneMargin
 	}
+	p.judge(now, m)
 	epoch := max(epochOf(m.incarnation), 1)
 	if m.gone >= epoch {
 		return true
 	}
-	w := p.witnessesOf(id)
-	return p.leaseCounts(now, len(w)) && p.saying(m, epoch, w)+1 >= quorum(len(w))
+	n := len(m.witnesses)
+	if !p.leaseCounts(now, n) || now.Sub(m.witnessesAt) < settleFor {
+		return false
+	}
+	return p.saying(m, epoch)+1 >= quorum(n)
 }
 
 // Acknowledged says whether a daemon has known this daemon's epoch for so long
@@ -77,7 +84,7 @@
 func (p *Prober) inquire(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	asked := 0
 	for _, id := range p.blockers {
-		for _, w := range p.witnessesOf(id) {
+		for _, w := range p.witnessesOfMember(id) {
 			m := p.members[w]
 			if asked == inquiriesPerTick {
 				return out
@@ -96,3 +103,10 @@
 func (p *Prober) shouldAsk(now almondstep.Instant, m *member) bool {
 	return now >= m.nextInquiry && !m.probe.open && m.state == almondstep.MemberAlive
 }
+
+func (p *Prober) witnessesOfMember(id almondstep.DaemonID) []almondstep.DaemonID {
+	if m := p.members[id]; m != nil {
+		return m.witnesses
+	}
+	return nil
+}
--- a/prober/witness.go
+++ b/prober/witness.go
@@ -37,18 +37,6 @@
 	return w
 }
 
-// isWitness says whether w is a witness of id. It sorts nothing.
-func (p *Prober) isWitness(w, id almondstep.DaemonID) bool {
-	if !p.listed || w == id {
-		return false
-	}
-	if p.mates.Len() <= witnessesMax {
-		return true
-	}
-	key := "witness/" + string(id)
-	return p.mates.Above(key, w, id) < witnessesMax
-}
-
 // vouch answers a renewal. It is refused for an epoch this daemon has said Gone
 // of, or has heard Gone of before it ever vouched; to a daemon with an older
 // list of VMs; and while this daemon is not yet admitted.
@@ -61,7 +49,6 @@
 		return false
 	}
 	if m.renewedEpoch < epoch && p.anyoneSaidGone(m, epoch) {
-		m.saidGone = epoch
 		return false
 	}
 	m.renewedAt = now
@@ -97,7 +84,7 @@
 			continue
 		}
 		m.saidGone = epoch
-		p.judge(m)
+		p.judge(now, m)
 	}
 }
 
@@ -117,7 +104,7 @@
 		if m := p.members[g.Daemon]; m != nil {
 			m.learn(now, g.Incarnation)
 			m.goneBy[from.id] = max(m.goneBy[from.id], epoch)
-			p.judge(m)
+			p.judge(now, m)
 		}
 	}
 }
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -118,20 +118,3 @@
 	h ^= h >> 31
 	return h
 }
-
-// Above counts the daemons that come before id for a key, without the one
-// excluded.
-func (r *Ranker) Above(key string, id, excluded almondstep.DaemonID) int {
-	h := Hash(key)
-	at, found := slices.BinarySearch(r.ids, id)
-	if !found {
-		return len(r.ids)
-	}
-	n := 0
-	for i, o := range r.ids {
-		if o != excluded && r.compare(h, i, at) < 0 {
-			n++
-		}
-	}
-	return n
-}
