Measure a sub-request's cost at the entry daemon

Cause: the target of 2 us per sub-request event at 1,200 shards had no figure.

Change: two benchmarks, with 1, 100 and 1,000 queries of that size open.

Nothing needed to be changed for it.

--- /dev/null
+++ b/querier/bench_test.go
@@ -0,0 +1,137 @@
+package querier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/querier"
+)
+
+const (
+	benchShards = 1_200
+	// benchOwners is the number of daemons of a zone at the target size.
+	benchOwners = 122
+)
+
+// BenchmarkSubRequest is the cost of one sub-request of a search over 1,200
+// shards: its part of planning, sending, and merging the answers, with other
+// queries open.
+func BenchmarkSubRequest(b *testing.B) {
+	for _, open := range []int{1, 100, 1_000} {
+		b.Run(fmt.Sprintf("open=%d", open), func(b *testing.B) {
+			benchmark(b, open, answerAll)
+		})
+	}
+}
+
+// BenchmarkHedgedSubRequest is the same where every owner's first answer has
+// one shard pending, which is collected and, out of the budget, hedged.
+func BenchmarkHedgedSubRequest(b *testing.B) {
+	for _, open := range []int{1, 100, 1_000} {
+		b.Run(fmt.Sprintf("open=%d", open), func(b *testing.B) {
+			benchmark(b, open, answerLate)
+		})
+	}
+}
+
+// benchmark keeps open queries open and counts b.N sub-requests of others.
+func benchmark(b *testing.B, open int, answer func(a *answers, w *almondstep.SendWork, buffer []almondstep.Effect) []almondstep.Effect) {
+	v := deskFleet(benchShards, benchOwners, 2).view()
+	q := querier.New(querier.Config{MaxOpen: 2 * open})
+	a := &answers{q: q, v: v}
+	// One query shows that the request is good, so that the rest need no canary
+	// and have all their shards asked for.
+	a.whole(b, 1, answer)
+	for id := range open - 1 {
+		q.Reduce(0, v, benchSearch(almondstep.QueryID(id+2)), nil)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += benchShards {
+		a.whole(b, 1, answer)
+	}
+}
+
+// benchSearch is a search with a limit of 100.
+func benchSearch(id almondstep.QueryID) *almondstep.SearchArrived {
+	return &almondstep.SearchArrived{
+		ID: id, Name: "desk", Tenant: "growers", Class: "urgent", Text: "x", Limit: 100, Fingerprint: 5,
+	}
+}
+
+// answers holds what the owners' side reuses, so that the benchmark counts the
+// allocations of the querier alone.
+type answers struct {
+	q       *querier.Queries
+	v       *almondstep.View
+	now     almondstep.Instant
+	event   almondstep.WorkAnswered
+	records []almondstep.Record
+	sends   []*almondstep.SendWork
+	effects []almondstep.Effect
+	done    bool
+}
+
+// whole takes one query from its arrival to its answer.
+func (a *answers) whole(b *testing.B, id almondstep.QueryID, answer func(*answers, *almondstep.SendWork, []almondstep.Effect) []almondstep.Effect) {
+	a.now = a.now.Add(time.Millisecond)
+	a.done = false
+	a.take(a.q.Reduce(a.now, a.v, benchSearch(id), a.effects[:0]))
+	for i := 0; i < len(a.sends); i++ {
+		a.take(answer(a, a.sends[i], a.effects[:0]))
+	}
+	a.sends = a.sends[:0]
+	if !a.done {
+		b.Fatal("no answer")
+	}
+}
+
+// take keeps the Works among the effects.
+func (a *answers) take(effects []almondstep.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case *almondstep.SendWork:
+			a.sends = append(a.sends, e)
+		case *almondstep.ReplyCaller:
+			a.done = true
+		}
+	}
+	a.effects = effects
+}
+
+// fill makes the answer to a Work, with one record for each of the items.
+func (a *answers) fill(s *almondstep.SendWork, pending int) {
+	items := a.event.Items[:0]
+	a.records = a.records[:0]
+	for i, item := range s.Work.Items {
+		ia := almondstep.ItemAnswer{Item: item, Total: 1, Took: 2 * time.Millisecond}
+		if i < pending {
+			ia = almondstep.ItemAnswer{Item: item, Outcome: almondstep.ItemPending}
+		}
+		items = append(items, ia)
+		a.records = append(a.records, almondstep.Record{Key: "lot"})
+	}
+	a.event = almondstep.WorkAnswered{
+		ID: s.Work.Query, Attempt: s.Work.Attempt, Owner: s.Owner, Version: s.Work.Version, Items: items, Records: a.records,
+	}
+}
+
+func answerAll(a *answers, s *almondstep.SendWork, out []almondstep.Effect) []almondstep.Effect {
+	a.fill(s, 0)
+	return a.q.Reduce(a.now, a.v, &a.event, out)
+}
+
+func answerLate(a *answers, s *almondstep.SendWork, out []almondstep.Effect) []almondstep.Effect {
+	if s.Work.Hedge {
+		return answerAll(a, s, out)
+	}
+	a.fill(s, 1)
+	out = a.q.Reduce(a.now, a.v, &a.event, out)
+	a.fill(s, 0)
+	a.event.Items = a.event.Items[:1]
+	a.event.Records = a.event.Records[:1]
+	a.take(out)
+	return a.q.Reduce(a.now, a.v, &a.event, out[:0])
+}
