Compare and merge documents by entry

Cause: operators need to see which entries an edit changes, and two edits of disjoint entries should not cost one of them a second attempt by hand. Change: patcher.Entries, Diff and Rebase address entries like services/intake-desk. Test: one expectation about blanks before a closing bracket was wrong when it was first run (the merge keeps the list's own layout) and was replaced by the exact text. Conclusion: changed, added, removed and equal changes merge; the same entry changed in two ways is refused with its address.

--- /dev/null
+++ b/patcher/entries.go
@@ -0,0 +1,116 @@
+package patcher
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"almondstep"
+)
+
+// Entry is one element of a list in the outermost object, or one of the
+// object's other members. Its address is like services/intake-desk,
+// upstreams/10.0.0.1:80, schemes/dns or revision.
+type Entry struct {
+	address string
+	text    string
+	line    int
+}
+
+// Address is the list's key and the entry's name.
+func (e Entry) Address() string { return e.address }
+
+// Text is the entry as JSON without comments or blanks.
+func (e Entry) Text() string { return e.text }
+
+// Line is where the entry begins, from 1.
+func (e Entry) Line() int { return e.line }
+
+// nameKeys are the members that name an entry, in order of precedence.
+var nameKeys = []string{"/name", "/addr", "/id"}
+
+// Entries lists a document's entries in the order of the text.
+func Entries(body []byte) ([]Entry, error) {
+	root, err := parse(body)
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	line, at := 1, 0
+	err = eachEntry(&root, func(address string, v *hujson.Value) error {
+		text, err := hujson.Minimize(body[v.StartOffset:v.EndOffset])
+		for ; at < v.StartOffset; at++ {
+			if body[at] == '\n' {
+				line++
+			}
+		}
+		entries = append(entries, Entry{address: address, text: string(text), line: line})
+		return err
+	})
+	return entries, err
+}
+
+func parse(body []byte) (hujson.Value, error) {
+	root, err := hujson.Parse(body)
+	if err != nil {
+		return root, errors.Wrapf(almondstep.ErrInvalid, "%v", err)
+	}
+	if _, ok := root.Value.(*hujson.Object); !ok {
+		return root, errors.Wrap(almondstep.ErrInvalid, "the document is not an object")
+	}
+	return root, nil
+}
+
+// eachEntry calls visit with each entry of a parsed document.
+func eachEntry(root *hujson.Value, visit func(address string, v *hujson.Value) error) error {
+	object := root.Value.(*hujson.Object)
+	for i := range object.Members {
+		m := &object.Members[i]
+		key := m.Name.Value.(hujson.Literal).String()
+		list, ok := m.Value.Value.(*hujson.Array)
+		if !ok {
+			if err := visit(key, &m.Value); err != nil {
+				return err
+			}
+			continue
+		}
+		addresses := listAddresses(key, list)
+		for j := range list.Elements {
+			if err := visit(addresses[j], &list.Elements[j]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// listAddresses names the entries of a list. A name that comes twice is numbered.
+func listAddresses(key string, list *hujson.Array) []string {
+	addresses := make([]string, len(list.Elements))
+	seen := make(map[string]int, len(list.Elements))
+	for i := range list.Elements {
+		address := key + "/" + nameOf(&list.Elements[i], i)
+		seen[address]++
+		if n := seen[address]; n > 1 {
+			address = fmt.Sprintf("%s#%d", address, n)
+		}
+		addresses[i] = address
+	}
+	return addresses
+}
+
+// nameOf gives an entry's name, or its place if it has none.
+func nameOf(v *hujson.Value, place int) string {
+	if literal, ok := v.Value.(hujson.Literal); ok {
+		return literal.String()
+	}
+	for _, key := range nameKeys {
+		if found := v.Find(key); found != nil {
+			if literal, ok := found.Value.(hujson.Literal); ok {
+				return literal.String()
+			}
+		}
+	}
+	return fmt.Sprintf("%d", place)
+}
--- a/patcher/patch_test.go
+++ b/patcher/patch_test.go
@@ -87,3 +87,79 @@
 		}
 	})
 }
+
+func TestDiffIsByEntry(t *testing.T) {
+	old := []byte(`{"schemes": ["a", "b"], "zones": [{"name": "x"}, {"name": "y"}], "upstreams": [{"addr": "10.0.0.1:80", "boot": "1"}]}`)
+	body := []byte(`// reordered
+	{"schemes": ["b", "c"], "zones": [{"name": "y"}, /* out */ {"name": "x", "out": true}], "upstreams": [{"addr": "10.0.0.1:80", "boot": "2"}]}`)
+	changes, err := patcher.Diff(old, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, c := range changes {
+		got = append(got, string(c.Kind())+" "+c.Address())
+	}
+	want := "added schemes/c, changed zones/x, changed upstreams/10.0.0.1:80, removed schemes/a"
+	if got := strings.Join(got, ", "); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func TestRebase(t *testing.T) {
+	const base = `{
+  // all zones
+  "zones": [
+    {"name": "a"}, // first
+    {"name": "b"},
+  ],
+}
+`
+	cases := []struct{ name, mine, theirs, want string }{
+		{
+			"changed and added",
+			strings.Replace(base, `{"name": "a"}`, `{"name": "a", "out": true /* rain */}`, 1),
+			strings.Replace(base, `{"name": "b"},`, `{"name": "b"}, {"name": "c"},`, 1),
+			strings.NewReplacer(`{"name": "a"}`, `{"name": "a", "out": true /* rain */}`, `{"name": "b"},`, `{"name": "b"}, {"name": "c"},`).Replace(base),
+		},
+		{
+			"both add at the end",
+			strings.Replace(base, "{\"name\": \"b\"},\n", "{\"name\": \"b\"},\n    // mine\n    {\"name\": \"m\"},\n", 1),
+			strings.Replace(base, "{\"name\": \"b\"},\n", "{\"name\": \"b\"},\n    {\"name\": \"t\"},\n", 1),
+			strings.Replace(base, "{\"name\": \"b\"},\n", "{\"name\": \"b\"},\n    // mine\n    {\"name\": \"m\"},\n    {\"name\": \"t\"},\n", 1),
+		},
+		{
+			"removed and changed",
+			strings.Replace(base, `{"name": "b"},`, ``, 1),
+			strings.Replace(base, `"a"`, `"a", "out": true`, 1),
+			"{\n  // all zones\n  \"zones\": [\n    {\"name\": \"a\", \"out\": true}\n  ],\n}\n",
+		},
+		{
+			"the same change", strings.Replace(base, `"b"`, `"b", "out": true`, 1),
+			strings.Replace(base, `"b"`, `"b", "out": true`, 1), strings.Replace(base, `"b"`, `"b", "out": true`, 1),
+		},
+	}
+	for _, c := range cases {
+		got, overlap, err := patcher.Rebase([]byte(base), []byte(c.mine), []byte(c.theirs))
+		if err != nil || len(overlap) > 0 {
+			t.Errorf("%s: got overlap %v and %v, want none", c.name, overlap, err)
+		}
+		if string(got) != c.want {
+			t.Errorf("%s: got\n%s\nwant\n%s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestRebaseRefusesOverlap(t *testing.T) {
+	base := `{"zones": [{"name": "a"}, {"name": "b"}]}`
+	mine := `{"zones": [{"name": "a", "out": true}, {"name": "b"}]}`
+	for _, theirs := range []string{`{"zones": [{"name": "b"}]}`, `{"zones": [{"name": "a", "out": false}, {"name": "b"}]}`} {
+		merged, overlap, err := patcher.Rebase([]byte(base), []byte(mine), []byte(theirs))
+		if err != nil || merged != nil {
+			t.Errorf("got %q and %v, want neither", merged, err)
+		}
+		if got, want := strings.Join(overlap, ","), "zones/a"; got != want {
+			t.Errorf("got overlap %q, want %q", got, want)
+		}
+	}
+}
