distributor: the form the controller asks for

Cause: the controller holds its documents behind Reduce, Tick(relay), Heard, States and Document. Change: the same methods here; Heard also takes when the digest was asked for. A read waits 500 ms at the platform instead of 1 s, since work for another zone needs a confirmation of the last 2.5 s: that is two relays a zone, two documents, two calls a second each. Conclusion: no decision changed but the wait.

--- a/distributor/documents.go
+++ b/distributor/documents.go
@@ -34,59 +34,69 @@
 	}
 }
 
-// Config is the edition of the operators' text held here; nil if there is none.
-// A new edition is a new pointer.
-func (d *Documents) Config() *almondstep.Document { return d.config.current }
-
-// Fleet is the edition of the list of VMs held here; nil if there is none. A
-// new edition is a new pointer.
-func (d *Documents) Fleet() *almondstep.Document { return d.fleet.current }
+// Document gives the edition held here; nil if there is none. A new edition is
+// a new pointer.
+func (d *Documents) Document(name almondstep.DocumentName) *almondstep.Document {
+	doc := d.find(name)
+	if doc == nil {
+		return nil
+	}
+	return doc.current
+}
 
-// State says which editions are held and how long ago the platform confirmed
+// States says which editions are held and how long ago the platform confirmed
 // them, for a digest.
-func (d *Documents) State(now almondstep.Instant) []almondstep.DocumentState {
+func (d *Documents) States(now almondstep.Instant) []almondstep.DocumentState {
 	return []almondstep.DocumentState{d.config.state(now), d.fleet.state(now)}
 }
 
-// SetRelay says whether this daemon is one of its zone's relays.
-func (d *Documents) SetRelay(relay bool) {
-	d.config.setRelay(relay)
-	d.fleet.setRelay(relay)
-}
-
 // Tick starts reads and pulls that are due and gives up those that are overdue.
-func (d *Documents) Tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
-	out = d.config.tick(now, out)
-	return d.fleet.tick(now, out)
+// Relay says whether this daemon is one of its zone's relays.
+func (d *Documents) Tick(now almondstep.Instant, relay bool, out []almondstep.Effect) []almondstep.Effect {
+	out = d.config.tick(now, relay, out)
+	return d.fleet.tick(now, relay, out)
 }
 
 // NotAsked is the sent instant of a digest that came unasked.
 const NotAsked = almondstep.Instant(-1)
 
-// Hear takes the document states of a peer's digest. Sent is when this daemon
-// asked for the digest: the ages in it count from there, so that a digest that
-// lay in a paused process's socket isn't taken for fresh. Those of a digest that
-// came unasked are not used.
-func (d *Documents) Hear(now, sent almondstep.Instant, g *almondstep.Digest, out []almondstep.Effect) []almondstep.Effect {
-	for _, s := range g.Documents {
+// Heard takes the document states of a peer's digest. Sent is when this daemon
+// asked for the digest, or earlier: the ages in it count from there, so that a
+// digest that lay in a paused process's socket isn't taken for fresh. Those of
+// a digest that came unasked are not used.
+func (d *Documents) Heard(
+	now, sent almondstep.Instant, from almondstep.DaemonID, addr almondstep.Address,
+	states []almondstep.DocumentState, out []almondstep.Effect,
+) []almondstep.Effect {
+	for _, s := range states {
 		if doc := d.find(s.Name); doc != nil {
-			out = doc.hear(now, sent, g, s, out)
+			at, known := agedAt(sent, s.Age)
+			out = doc.hear(now, teller{id: from, addr: addr, state: s, confirmed: at, known: known}, out)
 		}
 	}
 	return out
 }
 
-// Read takes a document from the platform.
-func (d *Documents) Read(now almondstep.Instant, e *almondstep.DocumentRead, out []almondstep.Effect) []almondstep.Effect {
-	if doc := d.find(e.Name); doc != nil {
-		out = doc.read(now, e, out)
+// Reduce takes a DocumentRead, a PullArrived or a PullEnded.
+func (d *Documents) Reduce(now almondstep.Instant, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	switch e := e.(type) {
+	case *almondstep.DocumentRead:
+		if doc := d.find(e.Name); doc != nil {
+			return doc.read(now, e, out)
+		}
+	case *almondstep.PullArrived:
+		return d.pullArrived(e, out)
+	case *almondstep.PullEnded:
+		if doc := d.find(e.Name); doc != nil {
+			return doc.pullEnded(now, e, out)
+		}
 	}
 	return out
 }
 
-// PullArrived answers a peer's pull with a patch from the edition it holds, or
+// pullArrived answers a peer's pull with a patch from the edition it holds, or
 // the full text if that edition is too old to be known here.
-func (d *Documents) PullArrived(e *almondstep.PullArrived, out []almondstep.Effect) []almondstep.Effect {
+func (d *Documents) pullArrived(e *almondstep.PullArrived, out []almondstep.Effect) []almondstep.Effect {
 	reply := &almondstep.ReplyPull{Call: e.Call}
 	if doc := d.find(e.Have.Name); doc != nil {
 		reply.Patch = doc.patchFor(e.Have)
@@ -94,14 +104,6 @@
 	return append(out, reply)
 }
 
-// PullEnded takes a peer's answer to a pull.
-func (d *Documents) PullEnded(now almondstep.Instant, e *almondstep.PullEnded, out []almondstep.Effect) []almondstep.Effect {
-	if doc := d.find(e.Name); doc != nil {
-		out = doc.pullEnded(now, e, out)
-	}
-	return out
-}
-
 func (d *Documents) find(name almondstep.DocumentName) *document {
 	switch name {
 	case almondstep.DocumentConfig:
--- a/distributor/pull.go
+++ b/distributor/pull.go
@@ -44,24 +44,22 @@
 }
 
 // hear takes what a peer says of its edition.
-func (d *document) hear(
-	now, sent almondstep.Instant, g *almondstep.Digest, s almondstep.DocumentState, out []almondstep.Effect,
-) []almondstep.Effect {
-	at, known := agedAt(sent, s.Age)
+func (d *document) hear(now almondstep.Instant, t teller, out []almondstep.Effect) []almondstep.Effect {
+	s := t.state
 	switch {
 	case s.Revision < d.revision() || s.Revision == 0:
 		return out
 	case s.Revision == d.unsound.revision && s.Hash == d.unsound.hash:
 		return out
 	case s.Revision > d.revision():
-		d.puller.add(teller{id: g.From, addr: g.Addr, state: s, confirmed: at, known: known})
+		d.puller.add(t)
 		return d.tickPull(now, out)
 	case s.Hash != d.hash():
 		next := &almondstep.Document{Revision: s.Revision, Hash: s.Hash}
-		return d.refuse(next, string(g.From), "another text than the one held under this revision", out)
+		return d.refuse(next, string(t.id), "another text than the one held under this revision", out)
 	}
-	if known {
-		d.confirm(at)
+	if t.known {
+		d.confirm(t.confirmed)
 	}
 	return out
 }
--- a/distributor/read.go
+++ b/distributor/read.go
@@ -9,7 +9,7 @@
 
 const (
 	// readWait is how long the platform may hold a read open.
-	readWait = time.Second
+	readWait = 500 * time.Millisecond
 	// readTimeout is how much later than that an answer may come before the
 	// read counts as silent and is asked again.
 	readTimeout = 2 * time.Second
@@ -38,7 +38,8 @@
 }
 
 // tick starts what is due and gives up what is overdue.
-func (d *document) tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+func (d *document) tick(now almondstep.Instant, relay bool, out []almondstep.Effect) []almondstep.Effect {
+	d.setRelay(relay)
 	out = d.tickRead(now, out)
 	return d.tickPull(now, out)
 }
