--- a/applier/envelope.go
+++ b/applier/envelope.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,9 +109,14 @@
 	}
 }
 
+// writers are kept, since a new one takes most of a megabyte.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
 func pack(e *Envelope) ([]byte, error) {
 	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
+	w := writers.Get().(*gzip.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
 	if err := json.NewEncoder(w).Encode(e); err != nil {
 		return nil, err
 	}
@@ -160,25 +166,23 @@
 // TextAt makes the text of a former revision, or returns almondstep.ErrNotFound
 // if it is no longer kept.
 func (e *Envelope) TextAt(revision almondstep.Revision) ([]byte, error) {
-	text, hash := []byte(e.Text), e.Hash
+	text := []byte(e.Text)
 	if revision == e.Revision && revision > 0 {
 		return text, nil
 	}
-	for i, edit := range e.History {
-		if edit.Back == nil || i+1 == len(e.History) {
-			break
-		}
-		before, err := patcher.Apply(text, edit.Back)
+	for i := 0; i+1 < len(e.History) && e.History[i].Back != nil; i++ {
+		before, err := patcher.Apply(text, e.History[i].Back)
 		if err != nil {
 			return nil, err
 		}
-		text, hash = before, e.History[i+1].Hash
-		if got := almondstep.HashOf(text); got != hash {
-			return nil, errors.Wrapf(almondstep.ErrCorrupt, "revision %d: hash is %s instead of %s", e.History[i+1].Revision, got, hash)
+		former := e.History[i+1]
+		if got := almondstep.HashOf(before); got != former.Hash {
+			return nil, errors.Wrapf(almondstep.ErrCorrupt, "revision %d: hash is %s instead of %s", former.Revision, got, former.Hash)
 		}
-		if e.History[i+1].Revision == revision {
-			return text, nil
+		if former.Revision == revision {
+			return before, nil
 		}
+		text = before
 	}
 	return nil, errors.Wrapf(almondstep.ErrNotFound, "revision %d is not kept", revision)
 }
