--- /dev/null
+++ b/resolver/draw.go
@@ -0,0 +1,65 @@
+package resolver
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"almondstep"
+)
+
+// WriteTree draws a service and all it depends on. A service that was drawn
+// before is followed by "(above)" instead of its dependencies.
+//
+//	intake-desk
+//	`-- roast-scheduler
+func WriteTree(w io.Writer, c *almondstep.Catalog, service almondstep.ServiceName) error {
+	var b strings.Builder
+	t := tree{catalog: c, out: &b, drawn: make(map[almondstep.ServiceName]bool)}
+	t.draw(service, "", "")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+type tree struct {
+	catalog *almondstep.Catalog
+	out     *strings.Builder
+	drawn   map[almondstep.ServiceName]bool
+}
+
+// draw writes a service after branch, and its dependencies indented by indent.
+func (t *tree) draw(name almondstep.ServiceName, branch, indent string) {
+	s, _ := t.catalog.Service(name)
+	again := t.drawn[name] && len(s.DependsOn()) > 0
+	t.drawn[name] = true
+	t.out.WriteString(branch + string(name))
+	if again {
+		t.out.WriteString(" (above)\n")
+		return
+	}
+	t.out.WriteString("\n")
+	for i, d := range s.DependsOn() {
+		if i == len(s.DependsOn())-1 {
+			t.draw(d, indent+"`-- ", indent+"    ")
+			continue
+		}
+		t.draw(d, indent+"|-- ", indent+"|   ")
+	}
+}
+
+// WriteDot writes a service and all it depends on as a graph for Graphviz.
+func WriteDot(w io.Writer, c *almondstep.Catalog, service almondstep.ServiceName) error {
+	var b strings.Builder
+	b.WriteString("digraph services {\n")
+	s, _ := c.Service(service)
+	for _, name := range s.Closure() {
+		fmt.Fprintf(&b, "  %q;\n", name)
+		each, _ := c.Service(name)
+		for _, d := range each.DependsOn() {
+			fmt.Fprintf(&b, "  %q -> %q;\n", name, d)
+		}
+	}
+	b.WriteString("}\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
