--- /dev/null
+++ b/commander/exit_codes.go
@@ -0,0 +1,69 @@
+package commander
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+	"almondstep/applier"
+)
+
+// Exit codes of all verbs.
+const (
+	codeDone = iota
+	codeFailed
+	codeUsage
+	codeUnknown
+	codeInvalid
+	codeConflict
+	codeUnavailable
+	codeNotFound
+	codeNotRun
+	codePartial
+)
+
+// exitCode is one row of the documented table.
+type exitCode struct {
+	code int
+	help string
+	// errs are the errors that lead to it.
+	errs []error
+}
+
+// exitCodes documents the codes; the first row whose error matches wins.
+func exitCodes() []exitCode {
+	return []exitCode{
+		{code: codeDone, help: "done; an answer is complete"},
+		{code: codeFailed, help: "failed for another reason"},
+		{code: codeUsage, help: "the arguments are wrong; nothing was done"},
+		{code: codeUnknown, help: "no answer came back; it may have taken effect", errs: []error{applier.ErrOutcomeUnknown}},
+		{code: codeInvalid, help: "a text or file is not sound; nothing was done", errs: []error{almondstep.ErrInvalid, almondstep.ErrCorrupt}},
+		{code: codeConflict, help: "another edit came first; nothing was done", errs: []error{almondstep.ErrConflict}},
+		{code: codeUnavailable, help: "the platform or a daemon doesn't answer", errs: []error{almondstep.ErrUnavailable}},
+		{code: codeNotFound, help: "a name or revision doesn't exist or isn't unique", errs: []error{almondstep.ErrNotFound, almondstep.ErrAmbiguousName}},
+		{code: codeNotRun, help: "refused; nothing has begun", errs: []error{almondstep.ErrNotRun}},
+		{code: codePartial, help: "the answer is partial; its coverage says what is missing", errs: []error{errPartial}},
+	}
+}
+
+// errPartial is returned by a verb whose answer is partial.
+var errPartial = errors.New("the answer is partial")
+
+// errReported marks an error that the verb has printed itself.
+var errReported = errors.New("reported")
+
+// reported marks an error as printed.
+func reported(err error) error { return errors.Mark(err, errReported) }
+
+func codeOf(err error) int {
+	if err == nil {
+		return codeDone
+	}
+	for _, c := range exitCodes() {
+		for _, target := range c.errs {
+			if errors.Is(err, target) {
+				return c.code
+			}
+		}
+	}
+	return codeFailed
+}
--- /dev/null
+++ b/commander/input.go
@@ -0,0 +1,69 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+	"almondstep/applier"
+	"almondstep/decoder"
+	"almondstep/parser"
+	"almondstep/storer"
+)
+
+// platformFlag is how verbs find the platform.
+type platformFlag struct {
+	Platform almondstep.Address `arg:"--platform" default:"127.0.0.1:7100" placeholder:"ADDR" help:"where the platform's service answers"`
+}
+
+// client connects to the platform.
+func (p platformFlag) client() *storer.Client {
+	return &storer.Client{Base: "http://" + string(p.Platform)}
+}
+
+// envelope reads what is in force.
+func (p platformFlag) envelope(ctx context.Context) (*applier.Envelope, error) {
+	c := p.client()
+	defer c.Close()
+	e, err := (&applier.Applier{Platform: c}).Read(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(err, "can't read the configuration from the platform at %s", p.Platform)
+	}
+	return e, nil
+}
+
+// readText reads a file, or standard input if it is "-".
+func readText(env *Env, file string) ([]byte, error) {
+	var body []byte
+	var err error
+	if file == "-" {
+		body, err = io.ReadAll(io.LimitReader(env.Stdin, decoder.MaxBytes+1))
+	} else {
+		body, err = os.ReadFile(file)
+	}
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, errors.Wrapf(almondstep.ErrNotFound, "file %s", file)
+	}
+	return body, errors.Wrapf(err, "file %s", file)
+}
+
+// readCatalog reads and checks a file.
+func readCatalog(env *Env, file string) (*almondstep.Catalog, error) {
+	body, err := readText(env, file)
+	if err != nil {
+		return nil, err
+	}
+	return parser.ParseFile(file, body)
+}
+
+// writeJSON prints a value for programs.
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
--- /dev/null
+++ b/commander/verb_apply.go
@@ -0,0 +1,139 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+	"almondstep/applier"
+	"almondstep/parser"
+)
+
+const applyName = "apply"
+
+// applyVerb puts a text in force.
+type applyVerb struct {
+	File    string              `arg:"positional,required" help:"the whole new text; - reads standard input"`
+	Base    almondstep.Revision `arg:"--base" placeholder:"N" help:"the revision the text was made from, as show prints it; 0 if there was none"`
+	Rebase  bool                `arg:"--rebase" help:"if other edits came first, carry this one over unless they changed the same entries"`
+	Above   almondstep.Revision `arg:"--above" placeholder:"N" help:"make the revision higher than N, for a platform that came back with older data"`
+	Damaged bool                `arg:"--damaged" help:"replace a value at the platform that can't be read"`
+	editFlags
+}
+
+// editFlags are what all verbs that change the text in force have.
+type editFlags struct {
+	Reason string        `arg:"--reason,required" placeholder:"TEXT" help:"why, for the history"`
+	Who    string        `arg:"--who" placeholder:"NAME" help:"who, for the history; without it, the user who runs the command"`
+	Wait   bool          `arg:"--wait" help:"wait until every daemon that can be reached has it in force"`
+	Within time.Duration `arg:"--within" default:"30s" help:"how long to wait"`
+	JSON   bool          `arg:"--json" help:"print the result as JSON"`
+	platformFlag
+}
+
+func newApply() verb { return &applyVerb{} }
+
+// applyResult is the result as JSON.
+type applyResult struct {
+	Revision  almondstep.Revision   `json:"revision"`
+	Hash      almondstep.Hash       `json:"hash"`
+	WriteID   string                `json:"writeId,omitempty"`
+	Entries   []string              `json:"entries"`
+	Unchanged bool                  `json:"unchanged"`
+	Rebased   bool                  `json:"rebased"`
+	InForce   []almondstep.DaemonID `json:"inForce,omitempty"`
+	NotHeard  []almondstep.DaemonID `json:"notHeard,omitempty"`
+}
+
+func (v *applyVerb) run(ctx context.Context, env *Env) error {
+	text, err := readText(env, v.File)
+	if err != nil {
+		return err
+	}
+	if _, err := parser.ParseFile(v.File, text); err != nil {
+		return err
+	}
+	return v.edit(ctx, env, func(a *applier.Applier) (*applier.Result, error) {
+		return a.Apply(ctx, applier.Edit{
+			Text:    text,
+			Base:    v.Base,
+			Reason:  v.Reason,
+			Rebase:  v.Rebase,
+			Above:   v.Above,
+			Damaged: v.Damaged,
+		})
+	})
+}
+
+// edit makes an edit, prints how it was accepted, and waits if asked to.
+func (f *editFlags) edit(ctx context.Context, env *Env, with func(*applier.Applier) (*applier.Result, error)) error {
+	c := f.client()
+	defer c.Close()
+	who := f.Who
+	if who == "" {
+		who = env.User
+	}
+	result, err := with(&applier.Applier{
+		Platform: c,
+		Check:    func(text []byte) error { _, err := parser.Parse(text); return err },
+		Who:      who,
+		Now:      time.Now,
+		NewID:    rand.Text,
+	})
+	if err != nil {
+		return f.refused(env, err)
+	}
+	out := applyResult{
+		Revision: result.Revision, Hash: result.Hash, WriteID: result.WriteID, Entries: result.Entries,
+		Unchanged: result.Unchanged, Rebased: result.Rebased,
+	}
+	if !f.JSON {
+		writeAccepted(env, result)
+	}
+	if f.Wait {
+		w := &waiter{platform: c, revision: result.Revision, within: f.Within}
+		if !f.JSON {
+			w.progress = env.Stdout
+		}
+		err = w.run(ctx)
+		out.InForce, out.NotHeard = w.inForce, w.notHeard
+	}
+	if f.JSON {
+		return errors.CombineErrors(err, writeJSON(env.Stdout, out))
+	}
+	return err
+}
+
+// refused says what came first, for a conflict, and that nothing is half done.
+func (f *editFlags) refused(env *Env, err error) error {
+	var conflict *applier.ConflictError
+	if errors.As(err, &conflict) {
+		printf(env.Stderr, "accepted since, newest first:\n")
+		_ = writeEdits(&Env{Stdout: env.Stderr}, conflict.Edits)
+		return errors.WithMessage(err, "nothing was changed")
+	}
+	if errors.Is(err, almondstep.ErrUnavailable) {
+		return errors.Wrapf(err, "nothing was changed; the platform at %s", f.Platform)
+	}
+	return err
+}
+
+func writeAccepted(env *Env, r *applier.Result) {
+	if r.Unchanged {
+		printf(env.Stdout, "revision %d has this text already; nothing was changed\n", r.Revision)
+		return
+	}
+	printf(env.Stdout, "accepted as revision %d, hash %s\n", r.Revision, r.Hash)
+	if r.Rebased {
+		printf(env.Stdout, "carried over other edits that came first\n")
+	}
+	for _, entry := range r.Entries {
+		printf(env.Stdout, "  %s\n", entry)
+	}
+	if len(r.Later) > 0 {
+		printf(env.Stdout, "%d later edits were accepted since\n", len(r.Later))
+	}
+}
--- /dev/null
+++ b/commander/verb_rollback.go
@@ -0,0 +1,24 @@
+package commander
+
+import (
+	"context"
+
+	"almondstep"
+	"almondstep/applier"
+)
+
+const rollbackName = "rollback"
+
+// rollbackVerb puts a former text in force again.
+type rollbackVerb struct {
+	Revision almondstep.Revision `arg:"positional,required" help:"the former revision, as show --history lists it"`
+	editFlags
+}
+
+func newRollback() verb { return &rollbackVerb{} }
+
+func (v *rollbackVerb) run(ctx context.Context, env *Env) error {
+	return v.edit(ctx, env, func(a *applier.Applier) (*applier.Result, error) {
+		return a.Rollback(ctx, v.Revision, v.Reason)
+	})
+}
