A zone taken out is closed, not leaving

Cause: the demo's zone never got work again after it was brought back: while it was out its upstreams were shown to the limiter as leaving, which is final for a boot, so the limiter marked them leaving for everyone. Change: while a zone is out its upstreams have no grant instead. Conclusion: leaving is for VMs; a zone out is a grant withheld.

--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -138,10 +138,12 @@
 		vm := *o.vm
 		t, boot := c.marks.forOwner(vm.Addr)
 		vm.Boot = boot
+		grant := o.grant
 		if out {
-			vm.State = almondstep.VMLeaving
+			// Not leaving: that is final for a boot, and the zone may come back.
+			grant = almondstep.GrantNone
 		}
-		u := almondstep.NewOwnedUpstream(vm, s.Slots(), s.Connections(), o.grant, t)
+		u := almondstep.NewOwnedUpstream(vm, s.Slots(), s.Connections(), grant, t)
 		all[vm.Addr] = u.WithGrantUntil(c.ownership.until)
 	}
 	return all
