Let a few first tries warm cold replicas

Cause: the planner prefers warm replicas anywhere, so an upstream of a returned zone whose shards are warm elsewhere never got the work that warms it. Ruled out: warming by requests nobody asked for, which is extra load.

--- a/planner/plan.go
+++ b/planner/plan.go
@@ -85,3 +85,21 @@
 	}
 	return t.candidates[hash%uint64(t.equals)], true
 }
+
+// Trickle picks a cold replica of a shard that has a warm one as well; false if
+// there is none. A few first tries go there, since a cold upstream that gets no
+// work never warms, and the warm replica covers for it.
+func (t *Target) Trickle(hash uint64) (almondstep.Replica, bool) {
+	if len(t.candidates) == 0 || t.candidates[0].Temperature() != almondstep.Warm {
+		return almondstep.Replica{}, false
+	}
+	cold := len(t.candidates)
+	for cold > 0 && t.candidates[cold-1].Temperature() == almondstep.Cold {
+		cold--
+	}
+	n := uint64(len(t.candidates) - cold)
+	if n == 0 {
+		return almondstep.Replica{}, false
+	}
+	return t.candidates[cold+int(hash%n)], true
+}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -197,3 +197,27 @@
 		}
 	}
 }
+
+// A cold replica is offered for a trickle only where a warm one covers for it.
+func TestTrickleNeedsCover(t *testing.T) {
+	warm, cold := replica("w", almondstep.Warm), replica("c", almondstep.Cold)
+	for _, c := range []struct {
+		name     string
+		replicas replicas
+		want     bool
+	}{
+		{"cold beside warm", replicas{warm, cold}, true},
+		{"all warm", replicas{warm}, false},
+		{"all cold", replicas{cold}, false},
+		{"none", nil, false},
+	} {
+		v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{"store": {placed(1, c.replicas)}})
+		r, got := planOf(v, "store").Targets()[0].Trickle(7)
+		if got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+		if got && r.Upstream() != "c" {
+			t.Errorf("%s: got %s, want c", c.name, r.Upstream())
+		}
+	}
+}
--- a/querier/canary.go
+++ b/querier/canary.go
@@ -118,7 +118,11 @@
 
 // pickFirst picks the replica of a shard's first try.
 func (q *Queries) pickFirst(qu *query, target int) {
-	r, _ := qu.plan.Targets()[target].Choose(q.hash(qu, target))
+	hash := q.hash(qu, target)
+	r, ok := q.trickle(qu, target, hash)
+	if !ok {
+		r, _ = qu.plan.Targets()[target].Choose(hash)
+	}
 	q.pick(qu, target, r)
 }
 
--- a/querier/query.go
+++ b/querier/query.go
@@ -41,6 +41,7 @@
 	sent       int
 	canaries   int
 	crashes    int
+	trickled   int
 	flushAfter time.Duration
 	softPassed bool
 	replanned  bool
