Daemons that start again under the same id begin a higher epoch

Cause: the platform's list names VMs, so a restarted daemon keeps its id, and its first incarnation would repeat one that witnesses already know. Conclusion: what a witness said of the former start can't bind the new one.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -27,6 +27,9 @@
 	Zone almondstep.ZoneName
 	// Distances has the expected one-way delay to each zone.
 	Distances map[almondstep.ZoneName]time.Duration
+	// Epoch is above that of any earlier start under the same id, such as the
+	// Unix time in seconds at the start; 0 means 1.
+	Epoch uint32
 	// Seed drives all random choices.
 	Seed uint64
 }
@@ -68,6 +71,7 @@
 		Self:     cfg.Self,
 		Addr:     cfg.Addr,
 		Zone:     cfg.Zone,
+		Epoch:    cfg.Epoch,
 		Seed:     cfg.Seed,
 		Describe: c.describe,
 	})
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -56,6 +56,9 @@
 	Self almondstep.DaemonID
 	Addr almondstep.Address
 	Zone almondstep.ZoneName
+	// Epoch is the first epoch, above that of any earlier start under the same
+	// id, such as the Unix time in seconds at the start; 0 means 1.
+	Epoch uint32
 	// Seed drives all random choices.
 	Seed uint64
 	// Describe gives what digests say of the documents and the other zones.
@@ -104,7 +107,7 @@
 		cfg:         cfg,
 		rng:         generator{state: cfg.Seed ^ ranker.Hash(string(cfg.Self))},
 		members:     make(map[almondstep.DaemonID]*member),
-		incarnation: newEpoch(1),
+		incarnation: newEpoch(max(1, uint64(cfg.Epoch))),
 		push:        pusher{tokens: pushBurst},
 	}
 	p.mates = ranker.New(nil)
