--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -108,7 +108,7 @@
 		return err
 	}
 	defer d.set.Stop()
-	fmt.Fprintf(d.Out, "started: 1 platform, %d upstreams in %d zones, %d daemons\n",
+	_, _ = fmt.Fprintf(d.Out, "started: 1 platform, %d upstreams in %d zones, %d daemons\n",
 		len(d.set.Upstreams()), len(d.set.Zones), len(d.set.Daemons()))
 	return d.session(ctx)
 }
--- a/demonstrator/summary.go
+++ b/demonstrator/summary.go
@@ -37,7 +37,7 @@
 	if r.took > 0 {
 		line += fmt.Sprintf("  %.1f ms", float64(r.took)/float64(time.Millisecond))
 	}
-	fmt.Fprintf(d.Out, "%s  [%s]\n", line, r.verdict())
+	_, _ = fmt.Fprintf(d.Out, "%s  [%s]\n", line, r.verdict())
 }
 
 // summary counts each promise and says whether all held.
@@ -54,12 +54,12 @@
 			broken[r.promise]++
 		}
 	}
-	fmt.Fprintln(d.Out)
+	_, _ = fmt.Fprintln(d.Out)
 	w := tabwriter.NewWriter(d.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "promise\tchecked\tbroken")
+	_, _ = fmt.Fprintln(w, "promise\tchecked\tbroken")
 	total := 0
 	for _, p := range order {
-		fmt.Fprintf(w, "%s\t%d\t%d\n", p, checked[p], broken[p])
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", p, checked[p], broken[p])
 		total += broken[p]
 	}
 	if err := w.Flush(); err != nil {
--- a/starter/main.go
+++ b/starter/main.go
@@ -40,7 +40,7 @@
 	var f flags
 	p, err := arg.NewParser(arg.Config{Program: "almondstepd", Out: stderr}, &f)
 	if err != nil {
-		fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
 	switch err := p.Parse(args); {
@@ -59,13 +59,13 @@
 
 func usage(p *arg.Parser, stderr io.Writer, problem string) int {
 	p.WriteUsage(stderr)
-	fmt.Fprintf(stderr, "almondstepd: %s\n", problem)
+	_, _ = fmt.Fprintf(stderr, "almondstepd: %s\n", problem)
 	return ExitUsage
 }
 
 func printSettings(stdout, stderr io.Writer) int {
 	if err := loader.Print(stdout); err != nil {
-		fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
 	return ExitOK
@@ -75,7 +75,7 @@
 func runFile(file string, stderr io.Writer) int {
 	settings, err := loader.Load(file)
 	if err != nil {
-		fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
 	logger := hclog.New(&hclog.LoggerOptions{
