--- a/commander/exit_codes.go
+++ b/commander/exit_codes.go
@@ -34,7 +34,7 @@
 	return []exitCode{
 		{code: codeDone, help: "done; an answer is complete"},
 		{code: codeFailed, help: "failed for another reason"},
-		{code: codeUsage, help: "the arguments are wrong; nothing was done"},
+		{code: codeUsage, help: "the arguments are wrong; nothing was done", errs: []error{errUsage}},
 		{code: codeUnknown, help: "no answer came back; it may have taken effect", errs: []error{applier.ErrOutcomeUnknown}},
 		{code: codeInvalid, help: "a text or file is not sound; nothing was done", errs: []error{almondstep.ErrInvalid, almondstep.ErrCorrupt}},
 		{code: codeConflict, help: "another edit came first; nothing was done", errs: []error{almondstep.ErrConflict}},
@@ -48,6 +48,14 @@
 // errPartial is returned by a verb whose answer is partial.
 var errPartial = errors.New("the answer is partial")
 
+// errUsage marks an error in the arguments that go-arg can't see.
+var errUsage = errors.New("usage")
+
+// badUsage says what is wrong with the arguments.
+func badUsage(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), errUsage)
+}
+
 // errReported marks an error that the verb has printed itself.
 var errReported = errors.New("reported")
 
--- a/commander/main.go
+++ b/commander/main.go
@@ -74,6 +74,9 @@
 	if err != nil && !errors.Is(err, errReported) {
 		printf(env.Stderr, "%s %s: %v\n", program, entry.name, err)
 	}
+	if errors.Is(err, errUsage) {
+		parser.WriteUsage(env.Stderr)
+	}
 	return codeOf(err)
 }
 
--- a/commander/verb_apply.go
+++ b/commander/verb_apply.go
@@ -26,7 +26,7 @@
 
 // editFlags are what all verbs that change the text in force have.
 type editFlags struct {
-	Reason string        `arg:"--reason,required" placeholder:"TEXT" help:"why, for the history"`
+	Reason string        `arg:"--reason" placeholder:"TEXT" help:"why, for the history; required"`
 	Who    string        `arg:"--who" placeholder:"NAME" help:"who, for the history; without it, the user who runs the command"`
 	Wait   bool          `arg:"--wait" help:"wait until every daemon that can be reached has it in force"`
 	Within time.Duration `arg:"--within" default:"30s" help:"how long to wait"`
@@ -70,6 +70,9 @@
 
 // edit makes an edit, prints how it was accepted, and waits if asked to.
 func (f *editFlags) edit(ctx context.Context, env *Env, with func(*applier.Applier) (*applier.Result, error)) error {
+	if f.Reason == "" {
+		return badUsage("--reason is required")
+	}
 	c := f.client()
 	defer c.Close()
 	who := f.Who
