--- a/querier/answered.go
+++ b/querier/answered.go
@@ -1,6 +1,8 @@
 package querier
 
 import (
+	"slices"
+
 	"almondstep"
 	"almondstep/hedger"
 )
@@ -20,15 +22,34 @@
 		return
 	}
 	at.heard = true
+	delete(q.silences, e.Owner)
 	mergeable := q.takeRecords(qu, e)
 	for i := range e.Items {
 		q.itemAnswered(qu, e, &e.Items[i], mergeable)
 	}
 	q.cancelLosers(qu)
+	q.failUnlisted(qu, e)
 	q.followUp(qu, e.Attempt)
 	q.settle(qu)
 }
 
+// failUnlisted fails the open tries that an owner's answer says nothing of: it
+// no longer knows them, so nothing more would come. They may have run.
+func (q *Queries) failUnlisted(qu *query, e *almondstep.WorkAnswered) {
+	at := &qu.attempts[e.Attempt-1]
+	if at.open == len(q.scratch.pending) {
+		return
+	}
+	for _, item := range at.items {
+		target, t := qu.openTry(e.Attempt, item)
+		if t == nil || slices.Contains(q.scratch.pending, target) {
+			continue
+		}
+		qu.closeTry(t)
+		q.tryFailed(qu, target, failure{reason: almondstep.ReasonFailed})
+	}
+}
+
 // takeRecords merges the records of the done items that count, before the
 // items are marked. It returns false if they can't be told from those of items
 // that don't count; then none is taken.
@@ -98,7 +119,9 @@
 		return
 	}
 	if ia.Outcome == almondstep.ItemPending {
-		q.scratch.pending = append(q.scratch.pending, target)
+		if !slices.Contains(q.scratch.pending, target) {
+			q.scratch.pending = append(q.scratch.pending, target)
+		}
 		return
 	}
 	qu.closeTry(t)
@@ -198,21 +221,14 @@
 	}
 }
 
-// collect waits at an owner for the pending rest, until a little before the
-// next deadline, so that what is done by then is in the answer.
+// collect waits at an owner for the pending rest.
 func (q *Queries) collect(qu *query, id almondstep.AttemptID) {
 	at := &qu.attempts[id-1]
 	if at.collects >= maxCollects {
 		return
 	}
 	at.collects++
-	deadline := qu.hard
-	if !qu.softPassed && qu.soft < qu.hard {
-		deadline = qu.soft
-	}
-	remaining := deadline.Sub(q.now)
-	remaining -= min(ownerMargin, remaining/2)
-	q.emit(&almondstep.SendCollect{Owner: at.owner, Query: qu.id, Attempt: id, Remaining: max(0, remaining)})
+	q.emit(&almondstep.SendCollect{Owner: at.owner, Query: qu.id, Attempt: id, Remaining: q.remainingAt(qu, at.way)})
 }
 
 // workFailed handles an owner that gave no answer.
@@ -230,6 +246,9 @@
 	// was not run says nothing of the items.
 	notRun := e.NotRun && !at.heard
 	at.heard = true
+	if !at.silent {
+		q.silences.add(e.Owner, q.now)
+	}
 	q.failOpenTries(qu, e.Attempt, failure{reason: almondstep.ReasonUnreachable, notRun: notRun, lostOwner: true})
 	if qu.stage == stageCanary {
 		q.followUpCanary(qu, false)
--- a/querier/canary.go
+++ b/querier/canary.go
@@ -116,16 +116,6 @@
 	q.sendPicks(qu, false)
 }
 
-// pickFirst picks the replica of a shard's first try.
-func (q *Queries) pickFirst(qu *query, target int) {
-	hash := q.hash(qu, target)
-	r, ok := q.trickle(qu, target, hash)
-	if !ok {
-		r, _ = qu.plan.Targets()[target].Choose(hash)
-	}
-	q.pick(qu, target, r)
-}
-
 // hash draws a number that depends on the seed, the query and n alone.
 func (q *Queries) hash(qu *query, n int) uint64 {
 	return planner.Mix(q.cfg.Seed ^ uint64(qu.id) ^ planner.Mix(uint64(n)))
--- a/querier/queries.go
+++ b/querier/queries.go
@@ -47,6 +47,7 @@
 	budget      hedger.Budget
 	digests     map[almondstep.ServiceName]*hedger.Digest
 	reputations reputations
+	silences    silences
 	counters    Counters
 	scratch     scratch
 
@@ -66,6 +67,7 @@
 		budget:      hedger.Budget{SharePerMille: cfg.ExtraPerMille, Burst: cfg.ExtraBurst},
 		digests:     make(map[almondstep.ServiceName]*hedger.Digest),
 		reputations: newReputations(cfg.Remembered),
+		silences:    make(silences),
 		scratch:     newScratch(),
 	}
 	q.budget.Start(cfg.ExtraBurst / startShare)
--- a/querier/query.go
+++ b/querier/query.go
@@ -104,10 +104,12 @@
 
 // attempt is one Work sent to one owner.
 type attempt struct {
-	owner    almondstep.DaemonID
-	items    []almondstep.Item
-	sent     almondstep.Instant
-	due      almondstep.Instant
+	owner almondstep.DaemonID
+	items []almondstep.Item
+	sent  almondstep.Instant
+	due   almondstep.Instant
+	// way is the time to the owner and back.
+	way      time.Duration
 	open     int
 	collects int
 	heard    bool
--- a/querier/send.go
+++ b/querier/send.go
@@ -62,12 +62,14 @@
 		farthest = max(farthest, p.distance)
 		q.addTry(qu, p, first+p.group)
 	}
-	q.emitWorks(qu, first, hedge)
 	const ways = 2
-	due := q.now.Add(qu.flushAfter + ways*farthest + ownerMargin)
+	way := ways * farthest
+	due := q.now.Add(qu.flushAfter + way + ownerMargin)
 	for i := first; i < len(qu.attempts); i++ {
 		qu.attempts[i].due = due
+		qu.attempts[i].way = way
 	}
+	q.emitWorks(qu, first, hedge)
 	q.watchOwners(qu, due)
 	clear(s.groups)
 	s.picks, s.owners, s.counts = s.picks[:0], s.owners[:0], s.counts[:0]
@@ -104,6 +106,7 @@
 	n := len(qu.attempts) - first
 	works := make([]almondstep.Work, n)
 	sends := make([]almondstep.SendWork, n)
+	remaining := q.remainingAt(qu, qu.attempts[first].way)
 	for i := range n {
 		at := &qu.attempts[first+i]
 		works[i] = almondstep.Work{
@@ -118,16 +121,25 @@
 			Operation:   qu.ask.operation,
 			Idempotent:  !qu.ask.once,
 			Fingerprint: qu.ask.fingerprint,
-			Remaining:   qu.hard.Sub(q.now),
-			FlushAfter:  min(qu.flushAfter, qu.hard.Sub(q.now)),
+			Remaining:   remaining,
+			FlushAfter:  min(qu.flushAfter, remaining),
 			Hedge:       hedge,
 			Items:       at.items,
 		}
+		q.silences.tried(at.owner, q.now)
 		sends[i] = almondstep.SendWork{Owner: at.owner, Work: &works[i]}
 		q.emit(&sends[i])
 	}
 }
 
+// remainingAt is the time that an owner has: it answers that much before the
+// hard deadline that its last word is still in the answer.
+func (q *Queries) remainingAt(qu *query, way time.Duration) time.Duration {
+	const atMostAQuarter = 4
+	remaining := max(0, qu.hard.Sub(q.now))
+	return remaining - min(way+ownerMargin, remaining/atMostAQuarter)
+}
+
 // watchOwners sets one timer for all owners asked so far, if none is set.
 func (q *Queries) watchOwners(qu *query, due almondstep.Instant) {
 	if qu.timerIsSet || qu.ask.once || due >= qu.hard {
--- a/querier/timer.go
+++ b/querier/timer.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		at.silent = true
+		q.silences.add(at.owner, q.now)
 		late = true
 		for _, item := range at.items {
 			if target, t := qu.openTry(almondstep.AttemptID(i+1), item); t != nil {
