Test the retries: lost owners, stragglers, new owners, one replan, soft deadline

The trickle to cold replicas no longer takes a canary, for which the whole query waits; a test holds that over 200 queries.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -198,6 +198,28 @@
 	}
 }
 
+// An upstream that was tried through its former owner comes after those not
+// tried, whatever the hash.
+func TestRepickPrefersUntried(t *testing.T) {
+	at := func(addr string) almondstep.Replica {
+		return almondstep.NewReplica(almondstep.Address(addr), "a", "o1", almondstep.Warm, 0)
+	}
+	v := viewOf(map[almondstep.ServiceName][]almondstep.Placement{"store": {placed(9, replicas{at("s1"), at("s2"), at("s3")})}})
+	drawn := map[almondstep.Address]int{}
+	for hash := range uint64(300) {
+		r, _ := planner.Repick(v, planner.Want{
+			Shard:   almondstep.NewShard("store", 0, 1),
+			Version: 9,
+			Tried:   []planner.Tried{{Upstream: "s1", Owner: "o9"}},
+			Hash:    planner.Mix(hash),
+		})
+		drawn[r.Upstream()]++
+	}
+	if drawn["s1"] > 0 || drawn["s2"] < 100 || drawn["s3"] < 100 {
+		t.Errorf("drawn %v, want s2 and s3 some 150 times each", drawn)
+	}
+}
+
 // A cold replica is offered for a trickle only where a warm one covers for it.
 func TestTrickleNeedsCover(t *testing.T) {
 	warm, cold := replica("w", almondstep.Warm), replica("c", almondstep.Cold)
--- /dev/null
+++ b/querier/failure_retry_test.go
@@ -0,0 +1,218 @@
+package querier_test
+
+import (
+	"testing"
+	"time"
+
+	"almondstep"
+)
+
+// ownersOf lists who the last event's Works went to.
+func (d *driver) ownersOf(works []*almondstep.Work) map[almondstep.DaemonID]int {
+	owners := map[almondstep.DaemonID]int{}
+	for _, w := range works {
+		owners[d.owner(w)] += len(w.Items)
+	}
+	return owners
+}
+
+// While two canaries are on their way, the crash of one sends no third, also
+// if the other is late.
+func TestOneCrashAndOneOpenCanary(t *testing.T) {
+	d := newDriver(t, deskFleet(200, 10, 3))
+	d.at(0, search(1, "urgent"))
+	d.at(16*ms, &almondstep.QueryTimer{ID: 1, What: almondstep.TimerHedge})
+	d.at(17*ms, d.answerTo(d.sent[0], almondstep.ItemCrashed))
+	d.at(18*ms, d.answerTo(d.sent[1], almondstep.ItemPending))
+	if got, want := len(d.sent), 2; got != want {
+		t.Errorf("%d canaries, want %d", got, want)
+	}
+}
+
+// The shards of an owner that is lost are not asked for through it again,
+// although it has other replicas of them.
+func TestLostOwnerIsNotAskedAgain(t *testing.T) {
+	for _, notRun := range []bool{true, false} {
+		// With two owners and three copies, each owner has two of some shards.
+		d := newDriver(t, deskFleet(12, 2, 3))
+		works, owners := d.fanOut(1, "routine")
+		d.at(2*ms, &almondstep.WorkFailed{ID: 1, Attempt: works[0].Attempt, Owner: owners[0], NotRun: notRun})
+		again := d.ownersOf(d.works())
+		if again[owners[0]] > 0 || again[owners[1]] == 0 {
+			t.Errorf("notRun %v: items asked again %v, want all at %s", notRun, again, owners[1])
+		}
+	}
+}
+
+// A silent owner's shards are hedged through others.
+func TestSilentOwnerIsNotHedgedAtItself(t *testing.T) {
+	d := newDriver(t, deskFleet(12, 2, 3))
+	works, owners := d.fanOut(1, "routine")
+	d.at(2*ms, answer(owners[1], works[1]))
+	d.at(110*ms, &almondstep.QueryTimer{ID: 1, What: almondstep.TimerHedge})
+	again := d.ownersOf(d.works())
+	if again[owners[0]] > 0 || again[owners[1]] == 0 {
+		t.Errorf("items hedged %v, want all at %s", again, owners[1])
+	}
+}
+
+// A late shard is hedged at another upstream, even if its own has a new owner.
+func TestStragglerIsNotHedgedAtItself(t *testing.T) {
+	f := deskFleet(12, 3, 1)
+	d := newDriver(t, f)
+	works, owners := d.fanOut(1, "urgent")
+	for i := range f.Servers {
+		f.Servers[i].Owner = "new"
+	}
+	d.v = f.view()
+	d.at(2*ms, &almondstep.ViewChanged{})
+	d.at(12*ms, answer(owners[0], works[0], almondstep.ItemPending))
+	if got, want := len(d.works()), 0; got != want {
+		t.Errorf("%d hedges at the same upstream, want %d", got, want)
+	}
+}
+
+// A shard whose upstream has got a new owner is asked for there, once, after
+// the old owner said that it isn't its any more.
+func TestNewOwnerIsAsked(t *testing.T) {
+	f := deskFleet(12, 3, 1)
+	d := newDriver(t, f)
+	works, owners := d.fanOut(1, "urgent")
+	for i := range f.Servers {
+		f.Servers[i].Owner = "new"
+	}
+	d.v = f.view()
+	a := d.answerTo(works[0], almondstep.ItemNotRun)
+	a.Owner = owners[0]
+	for i := range a.Items {
+		a.Items[i].Reason = almondstep.ReasonNotOwner
+	}
+	d.at(2*ms, a)
+	if got, want := d.ownersOf(d.works())["new"], len(works[0].Items); got != want {
+		t.Errorf("%d items asked at the new owner, want %d", got, want)
+	}
+}
+
+// moveTo moves all upstreams of a fleet to a version.
+func (d *driver) moveTo(f *fleet, version almondstep.Version) {
+	for i := range f.Servers {
+		f.Servers[i].Holdings[0].Version = version
+	}
+	d.v = f.view()
+}
+
+// A query starts over once; when the next version comes, it is partial.
+func TestReplanOnce(t *testing.T) {
+	f := deskFleet(12, 3, 2)
+	d := newDriver(t, f)
+	works, owners := d.fanOut(1, "routine")
+	d.moveTo(f, 8)
+	d.at(3*ms, answer(owners[0], works[0], almondstep.ItemWrongVersion))
+	works = d.works()
+	d.moveTo(f, 9)
+	d.at(5*ms, answer(d.owner(works[0]), works[0], almondstep.ItemWrongVersion))
+	if got, want := len(d.works()), 0; got != want {
+		t.Fatalf("%d Works at a third version, want %d", got, want)
+	}
+	d.at(6*ms, d.answerTo(works[1], almondstep.ItemDone))
+	d.at(6*ms, d.answerTo(works[2], almondstep.ItemDone))
+	if d.reply() == nil || d.reply().Outcome != almondstep.OutcomePartial || d.reply().Coverage.Included != 11 {
+		t.Errorf("answer %+v, want partial with 11", d.reply())
+	}
+}
+
+// A query doesn't start over when a second fan-out couldn't be in time.
+func TestNoReplanWithoutTime(t *testing.T) {
+	f := deskFleet(12, 3, 2)
+	d := newDriver(t, f)
+	works, owners := d.fanOut(1, "urgent")
+	d.moveTo(f, 8)
+	d.at(35*ms, answer(owners[0], works[0], almondstep.ItemWrongVersion))
+	if got, want := len(d.works()), 0; got != want {
+		t.Errorf("%d Works 5 ms before the soft deadline, want %d", got, want)
+	}
+}
+
+// Below the coverage that the class accepts, the soft deadline gives no
+// answer; it comes as soon as the coverage suffices.
+func TestSoftDeadlineWaitsForCoverage(t *testing.T) {
+	d := newDriver(t, deskFleet(12, 3, 1))
+	works, owners := d.fanOut(1, "urgent")
+	d.at(40*ms, &almondstep.QueryTimer{ID: 1, What: almondstep.TimerSoft})
+	if a := d.reply(); a != nil {
+		t.Fatalf("answered with %d of 12 shards, want to wait for 6", a.Coverage.Included)
+	}
+	d.at(50*ms, answer(owners[0], works[0]))
+	if a := d.reply(); a != nil {
+		t.Fatalf("answered with %d of 12 shards, want to wait for 6", a.Coverage.Included)
+	}
+	d.at(60*ms, answer(owners[1], works[1]))
+	a := d.reply()
+	if a == nil || a.Outcome != almondstep.OutcomePartial || a.Coverage.Included < 6 {
+		t.Errorf("answer %+v, want partial with at least 6", a)
+	}
+}
+
+// An owner whose connections are refused twice is avoided like a silent one.
+func TestRefusingOwnerIsAvoided(t *testing.T) {
+	d := newDriver(t, deskFleet(12, 3, 2))
+	d.searchAll(almondstep.ItemDone)
+	for id := almondstep.QueryID(2); id <= 4; id++ {
+		at := time.Duration(id) * 10 * ms
+		d.at(at, search(id, "routine"))
+		toLost := 0
+		for _, w := range d.works() {
+			if d.owner(w) == "o2" {
+				toLost++
+				d.at(at+ms, &almondstep.WorkFailed{ID: id, Attempt: w.Attempt, Owner: "o2", NotRun: true})
+			}
+		}
+		want := 1
+		if id == 4 {
+			want = 0
+		}
+		if toLost != want {
+			t.Errorf("query %d: %d Works to the refusing owner, want %d", id, toLost, want)
+		}
+		d.at(at+2*ms, &almondstep.CallerGone{ID: id})
+	}
+}
+
+// A few first tries of a fan-out go to cold replicas that warm ones cover for,
+// but never the canary.
+func TestTrickleSparesCanary(t *testing.T) {
+	f := deskFleet(64, 4, 2)
+	for i := range 64 {
+		f.Servers[64+i].Temperature = "cold"
+	}
+	cold := func(w *almondstep.Work) int {
+		n := 0
+		for _, item := range w.Items {
+			for i := range f.Servers {
+				if f.Servers[i].Addr == item.Upstream && f.Servers[i].Temperature == "cold" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	trickled := 0
+	for id := almondstep.QueryID(1); id <= 200; id++ {
+		d := newDriver(t, f)
+		works, _ := d.fanOut(id, "routine")
+		if cold(d.sent[0]) > 0 {
+			t.Fatalf("query %d: its canary went to a cold replica", id)
+		}
+		inQuery := 0
+		for _, w := range works {
+			inQuery += cold(w)
+		}
+		if most := 2; inQuery > most {
+			t.Fatalf("query %d: %d first tries to cold replicas, want at most %d", id, inQuery, most)
+		}
+		trickled += inQuery
+	}
+	if trickled == 0 {
+		t.Error("no first try went to a cold replica")
+	}
+}
--- a/querier/trickle.go
+++ b/querier/trickle.go
@@ -17,14 +17,15 @@
 
 // trickle chooses a cold replica for a few first tries. Without them a cold
 // upstream whose shards have warm replicas elsewhere would never get the work
-// that warms it. How much it bears is for its owner to say: what is too much
+// that warms it. A canary is not among them, since the whole query waits for it.
+// How much it bears is for its owner to say: what is too much
 // comes back at once as not run, and a straggler is hedged like any other.
 //
 // Example: a zone is back, and each shard has one cold replica there and two
 // warm ones elsewhere. Of 160 first tries of a routine search, about 10 would go
 // to the cold replicas; maxTrickle makes that 2.
 func (q *Queries) trickle(qu *query, target int, hash uint64) (almondstep.Replica, bool) {
-	if qu.ask.once || qu.trickled >= maxTrickle {
+	if qu.stage != stageFanOut || qu.ask.once || qu.trickled >= maxTrickle {
 		return almondstep.Replica{}, false
 	}
 	in := uint64(trickleIn)
