--- /dev/null
+++ b/claimer/failure_test.go
@@ -0,0 +1,368 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+	"almondstep/claimer"
+)
+
+func wantOutcome(t *testing.T, what string, got, want almondstep.ClaimOutcome) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got outcome %d, want %d", what, got, want)
+	}
+}
+
+// The answer to the write is lost after it took effect: the home reads it back
+// and grants its own claim, and no other.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		lost := 0
+		p.after = func(string) error {
+			lost++
+			if lost == 1 {
+				return almondstep.ErrUnavailable
+			}
+			return nil
+		}
+		c := run(t, p)
+		k := key("lostanswer")
+		wantOutcome(t, "first", claim(c, 1, k), almondstep.ClaimGranted)
+		wantOutcome(t, "resend", claim(c, 2, k), almondstep.ClaimTaken)
+		if got, want := p.writes, 1; got != want {
+			t.Errorf("got %d writes, want %d", got, want)
+		}
+	})
+}
+
+// Two homes, which both believe the value absent, race for one key.
+func TestLostRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		p.before = func(kind, _ string) error {
+			if kind == "swap" {
+				// Both have read before either writes.
+				time.Sleep(time.Second)
+			}
+			return nil
+		}
+		homes := []*claimer.Claimer{run(t, p), run(t, p)}
+		k := key("lost-race")
+		outcomes := make([]almondstep.ClaimOutcome, len(homes))
+		var wg sync.WaitGroup
+		for i, h := range homes {
+			wg.Go(func() { outcomes[i] = claim(h, almondstep.QueryID(i+1), k) })
+		}
+		wg.Wait()
+		granted := 0
+		for _, o := range outcomes {
+			if o == almondstep.ClaimGranted {
+				granted++
+			}
+		}
+		if granted != 1 || outcomes[0]+outcomes[1] != almondstep.ClaimGranted+almondstep.ClaimTaken {
+			t.Errorf("got outcomes %v, want one granted and one taken", outcomes)
+		}
+	})
+}
+
+// While the platform is down nothing is granted, and claims end at once; after
+// it the same request may try again.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := true
+		p := &fakePlatform{}
+		p.before = func(string, string) error {
+			if down {
+				return almondstep.ErrUnavailable
+			}
+			return nil
+		}
+		c := run(t, p)
+		k := key("platformout")
+		wantOutcome(t, "during", claim(c, 1, k), almondstep.ClaimUnavailable)
+		down = false
+		wantOutcome(t, "after", claim(c, 2, k), almondstep.ClaimGranted)
+	})
+}
+
+// The write took effect, its answer is lost and so is the read-back: the
+// caller is told that nothing ran, and a resend that the key is taken.
+func TestLostAnswerThenOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := false
+		p := &fakePlatform{}
+		p.before = func(string, string) error {
+			if down {
+				return almondstep.ErrUnavailable
+			}
+			return nil
+		}
+		p.after = func(string) error {
+			down = true
+			return almondstep.ErrUnavailable
+		}
+		c := run(t, p)
+		k := key("lostandout")
+		wantOutcome(t, "first", claim(c, 1, k), almondstep.ClaimUnavailable)
+		down = false
+		wantOutcome(t, "resend", claim(c, 2, k), almondstep.ClaimTaken)
+		wantOutcome(t, "first again", claim(c, 1, k), almondstep.ClaimGranted)
+	})
+}
+
+// A resend through another daemon, also after the first was replaced.
+func TestResendElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		k := key("elsewhere")
+		wantOutcome(t, "first", claim(run(t, p), 1, k), almondstep.ClaimGranted)
+		wantOutcome(t, "resend", claim(run(t, p), 2, k), almondstep.ClaimTaken)
+	})
+}
+
+// A home is paused between its read and its write, another home grants the
+// key meanwhile, and the paused one's write must not.
+func TestPausedHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		var paused atomic.Bool
+		p.before = func(kind, _ string) error {
+			if kind == "swap" && paused.CompareAndSwap(false, true) {
+				time.Sleep(time.Minute)
+			}
+			return nil
+		}
+		slow, other := run(t, p), run(t, p)
+		k := key("pausedhome")
+		late := make(chan almondstep.ClaimOutcome)
+		go func() {
+			late <- slow.Claim(context.Background(), &almondstep.ClaimKey{ID: 1, Key: k, Remaining: time.Hour})
+		}()
+		synctest.Wait()
+		wantOutcome(t, "other", claim(other, 2, k), almondstep.ClaimGranted)
+		wantOutcome(t, "paused", <-late, almondstep.ClaimTaken)
+	})
+}
+
+// A claim whose caller has waited long enough is unavailable, not granted.
+func TestRemaining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{before: func(kind, _ string) error {
+			if kind == "get" {
+				time.Sleep(2 * time.Second)
+			}
+			return nil
+		}}
+		c := run(t, p)
+		o := c.Claim(context.Background(), &almondstep.ClaimKey{ID: 1, Key: key("remaining"), Remaining: time.Second})
+		wantOutcome(t, "late", o, almondstep.ClaimUnavailable)
+		if got, want := p.writes, 0; got != want {
+			t.Errorf("got %d writes, want %d", got, want)
+		}
+	})
+}
+
+func TestKeys(t *testing.T) {
+	now := time.UnixMilli(1_733_288_400_000)
+	at := func(d time.Duration) string { return fmt.Sprintf("%d-abcdefgh", now.Add(d).UnixMilli()) }
+	for text, want := range map[string]error{
+		at(0):                             nil,
+		at(-claimer.Window):               nil,
+		at(-claimer.Window - 1e6):         claimer.ErrKeyExpired,
+		at(claimer.MaxSkew):               nil,
+		at(claimer.MaxSkew + 1e6):         claimer.ErrKeyExpired,
+		"":                                almondstep.ErrInvalid,
+		"1733288400000":                   almondstep.ErrInvalid,
+		"1733288400000-short":             almondstep.ErrInvalid,
+		"17332884000000-abcdefgh":         almondstep.ErrInvalid,
+		"x-abcdefgh":                      almondstep.ErrInvalid,
+		"1733288400000-abcd efgh":         almondstep.ErrInvalid,
+		"1733288400000-abcdefg\u00e9":     almondstep.ErrInvalid,
+		at(0) + strings.Repeat("x", 33):   almondstep.ErrInvalid,
+		"1733288400000-" + "\"abcdefgh\"": almondstep.ErrInvalid,
+	} {
+		k, err := claimer.ParseKey(text)
+		if err == nil {
+			err = k.Check(now)
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("%q: got %v, want %v", text, err, want)
+		}
+	}
+}
+
+// An expired key is refused as taken: its claim may be forgotten by now.
+func TestExpiredKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		c := run(t, p)
+		k := key("expiredkey")
+		time.Sleep(claimer.Window + time.Second)
+		wantOutcome(t, "expired", claim(c, 1, k), almondstep.ClaimTaken)
+		if got, want := p.reads+p.writes, 0; got != want {
+			t.Errorf("got %d calls, want %d", got, want)
+		}
+	})
+}
+
+// The value of a minute is used again SliceCount minutes later. A home whose
+// clock is so far behind that it takes the old key for a new one refuses it.
+func TestValueReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		c := run(t, p)
+		old := key("reused-00")
+		wantOutcome(t, "old", claim(c, 1, old), almondstep.ClaimGranted)
+		began := time.Now()
+		time.Sleep(claimer.SliceCount * time.Minute)
+		newer := sameBucket(t, old)
+		wantOutcome(t, "newer", claim(c, 2, newer), almondstep.ClaimGranted)
+		if got, want := len(p.entries), 1; got != want {
+			t.Errorf("got %d values, want %d", got, want)
+		}
+		for _, e := range p.entries {
+			if strings.Contains(string(e.Value), old) || !strings.Contains(string(e.Value), newer) {
+				t.Errorf("got %s, want the newer claim alone", e.Value)
+			}
+		}
+		behind := run(t, p)
+		behind.Now = func() time.Time { return began }
+		wantOutcome(t, "old again", claim(behind, 3, old), almondstep.ClaimTaken)
+	})
+}
+
+// sameBucket makes a key of the present time in the bucket of another.
+func sameBucket(t *testing.T, other string) string {
+	t.Helper()
+	want, err := claimer.ParseKey(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 1000 {
+		k, err := claimer.ParseKey(key(fmt.Sprintf("bucket-%03d", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if k.Bucket() == want.Bucket() {
+			return k.String()
+		}
+	}
+	t.Fatal("no such key")
+	return ""
+}
+
+// A platform that comes back with older data may have lost claims: the home
+// grants nothing from that value until the lost ones' keys have expired.
+func TestOlderData(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		c := run(t, p)
+		k := key("olderdata")
+		wantOutcome(t, "first", claim(c, 1, k), almondstep.ClaimGranted)
+		p.entries = nil
+		wantOutcome(t, "resend", claim(c, 2, k), almondstep.ClaimTaken)
+		wantOutcome(t, "another", claim(c, 3, sameBucket(t, k)), almondstep.ClaimUnavailable)
+	})
+}
+
+// However many claims there are, a bucket makes at most one read and one
+// write in each FlushEvery, and no value is over its bound.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		var swaps atomic.Int64
+		p.before = func(kind, _ string) error {
+			if kind == "swap" && swaps.Add(1)%2 == 0 {
+				return almondstep.ErrConflict
+			}
+			return nil
+		}
+		c := run(t, p)
+		const seconds = 5
+		const perTick = 64
+		var wg sync.WaitGroup
+		for tick := range seconds * 100 {
+			for i := range perTick {
+				k := key(fmt.Sprintf("bound-%d-%d-%s", tick, i, strings.Repeat("x", 20)))
+				wg.Go(func() { claim(c, almondstep.QueryID(tick*perTick+i), k) })
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		wg.Wait()
+		// The claims go on for seconds, the last ones' outcomes for one more.
+		limit := (seconds + 1) * claimer.Buckets * int(time.Second/claimer.FlushEvery)
+		if p.writes > limit || p.reads > limit {
+			t.Errorf("got %d writes and %d reads, want at most %d each", p.writes, p.reads, limit)
+		}
+		if got, want := p.largest, claimer.MaxValueBytes; got > want {
+			t.Errorf("got a value of %d bytes, want at most %d", got, want)
+		}
+		t.Logf("%d claims: %d writes, %d reads, largest value %d bytes", seconds*100*perTick, p.writes, p.reads, p.largest)
+	})
+}
+
+// A value that is full refuses further claims, which then have not run.
+func TestFullValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		c := run(t, p)
+		first := key("fullvalue")
+		const claims = 9000
+		outcomes := map[almondstep.ClaimOutcome]int{}
+		for i := 0; i < claims; {
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			for range 500 {
+				i++
+				id := almondstep.QueryID(i)
+				k := inBucket(t, first, i)
+				wg.Go(func() {
+					o := claim(c, id, k)
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[o]++
+				})
+			}
+			wg.Wait()
+		}
+		if outcomes[almondstep.ClaimUnavailable] == 0 || outcomes[almondstep.ClaimTaken] != 0 {
+			t.Errorf("got outcomes %v, want some unavailable and none taken", outcomes)
+		}
+		if got, want := p.largest, claimer.MaxValueBytes; got > want || got < want/2 {
+			t.Errorf("got a value of %d bytes, want one up to %d", got, want)
+		}
+	})
+}
+
+// inBucket makes the n-th key with the time and bucket of another.
+func inBucket(t *testing.T, other string, n int) string {
+	t.Helper()
+	want, err := claimer.ParseKey(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	millis, _, _ := strings.Cut(other, "-")
+	for i := range 10_000 {
+		k, err := claimer.ParseKey(fmt.Sprintf("%s-%030d-%04d", millis, n, i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if k.Bucket() == want.Bucket() {
+			return k.String()
+		}
+	}
+	t.Fatal("no such key")
+	return ""
+}
--- a/claimer/fake_test.go
+++ b/claimer/fake_test.go
@@ -88,6 +88,12 @@
 func run(t *testing.T, p almondstep.Platform) *claimer.Claimer {
 	t.Helper()
 	c := &claimer.Claimer{Platform: p}
+	serve(t, c)
+	return c
+}
+
+func serve(t *testing.T, c *claimer.Claimer) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -98,7 +104,6 @@
 		cancel()
 		<-done
 	})
-	return c
 }
 
 // key makes a key of the present time.
