parser: no map of places; bound what one search covers; texts of 1 MB

Cause: a text of 1 MB was refused for more than 2,000 services, and checking one took 176 ms and 48 MB: a map held the path of every value, and each key was unquoted through encoding/json. Change: a path is looked up in the parsed text when a problem needs its place; strings without escapes are copied as they stand; up to 5,000 services. A search covers at most 256 services, since a chain of thousands made NewCatalog's closures cost without end. Ruled out: leaving out the places when the text is sound, by decoding twice.

--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -6,56 +6,50 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
-// Places maps the path of each value, such as "services/2/slots", to its node.
-type Places map[string]Node
+// Places finds where the values of a text stand, by paths such as
+// services/2/slots.
+type Places struct {
+	root Node
+}
 
 // Decode fills the struct that target points to, by its json tags. What
 // doesn't fit becomes a problem of the document and stays zero. It returns
 // where each value stands.
 func (d *Document) Decode(target any) Places {
-	places := make(Places)
-	places.decode("", d.Root(), reflect.ValueOf(target).Elem())
-	return places
+	decode("", d.Root(), reflect.ValueOf(target).Elem())
+	return Places{root: d.Root()}
 }
 
-// At finds the place of path or of the innermost value around it, so that
+// At finds the value at path or the innermost value around it, so that
 // something missing is reported at the object that lacks it.
 func (p Places) At(path string) Node {
-	for {
-		if n, ok := p[path]; ok {
-			return n
-		}
-		cut := strings.LastIndexByte(path, '/')
-		if cut < 0 {
-			return p[""]
-		}
-		path = path[:cut]
-	}
+	n, _ := p.root.walk(path)
+	return n
 }
 
 // Has says whether the text gives path.
 func (p Places) Has(path string) bool {
-	_, ok := p[path]
-	return ok
+	_, whole := p.root.walk(path)
+	return whole
 }
 
-func (p Places) decode(path string, n Node, v reflect.Value) {
-	p[path] = n
+func decode(path string, n Node, v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Struct:
-		p.decodeStruct(path, n, v)
+		decodeStruct(path, n, v)
 	case reflect.Slice:
-		p.decodeSlice(path, n, v)
+		decodeSlice(path, n, v)
 	case reflect.Map:
-		p.decodeMap(path, n, v)
+		decodeMap(path, n, v)
 	default:
 		decodeScalar(path, n, v)
 	}
 }
 
-func (p Places) decodeStruct(path string, n Node, v reflect.Value) {
+func decodeStruct(path string, n Node, v reflect.Value) {
 	if n.Kind() != KindObject {
 		n.WrongKind(path, "an object")
 		return
@@ -70,13 +64,13 @@
 		case seen[m.Name()]:
 			repeatedKey(m)
 		default:
-			p.decode(join(path, m.Name()), m.Value(), v.Field(i))
+			decode(join(path, m.Name()), m.Value(), v.Field(i))
 		}
 		seen[m.Name()] = true
 	}
 }
 
-func (p Places) decodeSlice(path string, n Node, v reflect.Value) {
+func decodeSlice(path string, n Node, v reflect.Value) {
 	if n.Kind() != KindArray {
 		n.WrongKind(path, "a list")
 		return
@@ -84,11 +78,11 @@
 	elements := n.Elements()
 	v.Set(reflect.MakeSlice(v.Type(), len(elements), len(elements)))
 	for i, e := range elements {
-		p.decode(join(path, strconv.Itoa(i)), e, v.Index(i))
+		decode(join(path, strconv.Itoa(i)), e, v.Index(i))
 	}
 }
 
-func (p Places) decodeMap(path string, n Node, v reflect.Value) {
+func decodeMap(path string, n Node, v reflect.Value) {
 	if n.Kind() != KindObject {
 		n.WrongKind(path, "an object")
 		return
@@ -101,7 +95,7 @@
 			continue
 		}
 		element := reflect.New(v.Type().Elem()).Elem()
-		p.decode(join(path, m.Name()), m.Value(), element)
+		decode(join(path, m.Name()), m.Value(), element)
 		v.SetMapIndex(key, element)
 	}
 }
@@ -137,12 +131,20 @@
 	}
 }
 
+// fieldIndex keeps what fieldsOf found for a type.
+var fieldIndex sync.Map
+
+// fieldsOf maps the json names of a struct's fields to their places.
 func fieldsOf(t reflect.Type) map[string]int {
+	if known, ok := fieldIndex.Load(t); ok {
+		return known.(map[string]int)
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		fields[name] = i
 	}
+	fieldIndex.Store(t, fields)
 	return fields
 }
 
--- a/decoder/node.go
+++ b/decoder/node.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -125,7 +127,70 @@
 	if !ok || literal.Kind() != '"' {
 		return "", false
 	}
-	return literal.String(), true
+	return unquote(literal), true
+}
+
+// unquote gives a string's content. Few strings have escapes, and without any
+// the content is what stands between the quotes.
+func unquote(literal hujson.Literal) string {
+	plain := utf8.Valid(literal) && bytes.IndexByte(literal, '\\') < 0
+	if plain {
+		return string(literal[1 : len(literal)-1])
+	}
+	return literal.String()
+}
+
+// member finds a key of an object, the first if it comes twice.
+func (n Node) member(name string) (Node, bool) {
+	object, ok := n.value.Value.(*hujson.Object)
+	if !ok {
+		return Node{}, false
+	}
+	for i := range object.Members {
+		m := &object.Members[i]
+		if literal, _ := m.Name.Value.(hujson.Literal); isQuoted(literal, name) {
+			return Node{doc: n.doc, value: &m.Value}, true
+		}
+	}
+	return Node{}, false
+}
+
+// isQuoted says whether a string's content is text, without copying it.
+func isQuoted(literal hujson.Literal, text string) bool {
+	if bytes.IndexByte(literal, '\\') < 0 {
+		return string(literal[1:len(literal)-1]) == text
+	}
+	return literal.String() == text
+}
+
+// element finds a place in an array.
+func (n Node) element(place string) (Node, bool) {
+	array, ok := n.value.Value.(*hujson.Array)
+	if !ok {
+		return Node{}, false
+	}
+	i, err := strconv.Atoi(place)
+	if err != nil || i < 0 || i >= len(array.Elements) {
+		return Node{}, false
+	}
+	return Node{doc: n.doc, value: &array.Elements[i]}, true
+}
+
+// walk follows a path like services/2/slots as far as it leads; whole says
+// whether that is to its end.
+func (n Node) walk(path string) (last Node, whole bool) {
+	for path != "" {
+		name, rest, _ := strings.Cut(path, "/")
+		next, ok := n.member(name)
+		if !ok {
+			next, ok = n.element(name)
+		}
+		if !ok {
+			return n, false
+		}
+		n, path = next, rest
+	}
+	return n, true
 }
 
 // Bool is the value of true or false.
--- a/parser/check.go
+++ b/parser/check.go
@@ -10,7 +10,8 @@
 
 // Limits of the operators' text.
 const (
-	maxServices      = 2000
+	maxServices      = 5000
+	maxCovered       = 256
 	maxSchemes       = 16
 	maxZones         = 64
 	maxClasses       = 16
@@ -45,6 +46,7 @@
 	c.checkNames()
 	c.checkDependencies()
 	c.checkCycles()
+	c.checkCovered()
 }
 
 // add notes a problem at path.
@@ -110,6 +112,9 @@
 
 // number checks a whole number's range.
 func (c *checker) number(path string, n, least, most int) {
+	if n >= least && n <= most && n != 0 {
+		return
+	}
 	field := path[strings.LastIndexByte(path, '/')+1:]
 	remedy := fmt.Sprintf("give a whole number from %d to %d", least, most)
 	if !c.places.Has(path) {
--- a/parser/check_dependencies.go
+++ b/parser/check_dependencies.go
@@ -91,3 +91,31 @@
 }
 
 func (w *walker) name(i int) almondstep.ServiceName { return w.checker.text.Services[i].Name }
+
+// checkCovered bounds the services one search covers.
+func (c *checker) checkCovered() {
+	for i := range c.text.Services {
+		if n := c.covered(i); n > maxCovered {
+			c.add(fmt.Sprintf("services/%d/dependsOn", i), fmt.Sprintf("keep to at most %d", maxCovered),
+				"a search covers more than %d services", maxCovered)
+		}
+	}
+}
+
+// covered counts a service and all it depends on, and stops above maxCovered.
+func (c *checker) covered(i int) int {
+	reached := map[int]bool{i: true}
+	queue := []int{i}
+	for len(queue) > 0 && len(reached) <= maxCovered {
+		service := c.text.Services[queue[0]]
+		queue = queue[1:]
+		for _, d := range service.DependsOn {
+			next, known := c.seen[d]
+			if known && !reached[next] {
+				reached[next] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(reached)
+}
--- a/parser/parse_test.go
+++ b/parser/parse_test.go
@@ -1,6 +1,7 @@
 package parser_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -99,6 +100,58 @@
 	}
 }
 
+// A chain of dependencies is bounded, so that a text can't make each search, or
+// the check itself, cost without end.
+func TestTooManyCovered(t *testing.T) {
+	var b strings.Builder
+	b.WriteString(`{"schemes": ["a"], "zones": [{"name": "z", "region": "r"}],
+"classes": [{"name": "urgent", "priority": 0, "hardDeadline": "200ms"}],
+"tenants": [{"name": "t", "share": 1, "maxOpen": 10}], "services": [`)
+	for i := range 300 {
+		depends := fmt.Sprintf(`"dependsOn": ["s%d"], `, i+1)
+		if i == 299 {
+			depends = ""
+		}
+		fmt.Fprintf(&b, `{"name": "s%d", %s"slots": 2, "connections": 25, "serversPerInstance": 2, "dialTime": "6ms"},`+"\n", i, depends)
+	}
+	b.WriteString("]}")
+	_, err := parser.Parse([]byte(b.String()))
+	var invalid *decoder.InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("got %v, want an InvalidError", err)
+	}
+	if got, want := len(invalid.Problems()), 300-256; got != want {
+		t.Errorf("got %d problems, want %d", got, want)
+	}
+}
+
+// BenchmarkParse checks a text of about 1 MB.
+func BenchmarkParse(b *testing.B) {
+	var text strings.Builder
+	text.WriteString(strings.TrimSuffix(base, "]}\n"))
+	for i := 0; text.Len() < 1_000_000; i++ {
+		fmt.Fprintf(&text, `    {
+      // %d instances.
+      "name": "service-%d",
+      "names": {"a": "%d", "b": "servicio-%d"},
+      "dependsOn": ["s1"],
+      "slots": 2,
+      "connections": 25,
+      "serversPerInstance": 2,
+      "dialTime": "6ms",
+    },
+`, 20+i%7, i, 1000+i, i)
+	}
+	text.WriteString("]}\n")
+	body := []byte(text.String())
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		if _, err := parser.Parse(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func TestTooLong(t *testing.T) {
 	body := append([]byte(base), make([]byte, decoder.MaxBytes)...)
 	if _, err := parser.Parse(body); !errors.Is(err, almondstep.ErrInvalid) {
