--- a/distributor/documents_test.go
+++ b/distributor/documents_test.go
@@ -154,6 +154,25 @@
 	}
 }
 
+func TestUnchangedConfirmsWhatWasAskedFor(t *testing.T) {
+	d := holding(t, 7)
+	read := configReads(d.Tick(at(1000), true, nil))[0]
+	d.Reduce(at(1510), &almondstep.DocumentRead{Name: read.Name, Unchanged: true, Asked: read.Asked}, nil)
+	if got, want := age(d, at(1510)), 10*ms; got != want {
+		t.Errorf("got age %s, want %s", got, want)
+	}
+	// A peer brought revision 8 meanwhile: that revision 7 is unchanged at the
+	// platform says nothing of it.
+	read = configReads(d.Tick(at(1600), true, nil))[0]
+	heard(d, 1700, at(1700), "p", stateOf(text(8), almondstep.AgeUnknown))
+	full := &almondstep.Patch{Name: read.Name, Revision: 8, Hash: text(8).Hash, Body: text(8).Body}
+	d.Reduce(at(1701), &almondstep.PullEnded{From: "p", Name: read.Name, Patch: full}, nil)
+	d.Reduce(at(2110), &almondstep.DocumentRead{Name: read.Name, Unchanged: true, Asked: read.Asked}, nil)
+	if got, want := age(d, at(2110)), almondstep.AgeUnknown; got != want {
+		t.Errorf("got age %s, want %s", got, want)
+	}
+}
+
 func TestSilentWatchIsAskedAgain(t *testing.T) {
 	d := holding(t, 7)
 	first := configReads(d.Tick(at(100), true, nil))[0]
--- a/distributor/read.go
+++ b/distributor/read.go
@@ -33,6 +33,8 @@
 	// open says that the read asked for at asked has not ended.
 	open  bool
 	asked almondstep.Instant
+	// after is the revision that read asked to be above.
+	after almondstep.Revision
 	next  almondstep.Instant
 	fails int
 }
@@ -72,8 +74,8 @@
 	}
 	r.open = true
 	r.asked = now
-	after := max(d.revision(), d.unsound.revision)
-	return append(out, &almondstep.ReadDocument{Name: d.name, After: after, Wait: readWait, Asked: now})
+	r.after = max(d.revision(), d.unsound.revision)
+	return append(out, &almondstep.ReadDocument{Name: d.name, After: r.after, Wait: readWait, Asked: now})
 }
 
 func (d *document) warn(message string) *almondstep.Report {
@@ -86,10 +88,18 @@
 	if asked == 0 {
 		asked = r.asked
 	}
-	if r.open && asked == r.asked {
+	expected := r.open && asked == r.asked
+	if expected {
 		r.open = false
 		r.next = max(now, r.asked.Add(readPause))
 	}
+	if e.Unchanged {
+		if expected && r.after == d.revision() {
+			r.fails = 0
+			d.confirm(confirmedAt(now, asked, true))
+		}
+		return out
+	}
 	if e.Err != "" || e.Document == nil {
 		d.readFailed(now)
 		return out
--- a/message_control.go
+++ b/message_control.go
@@ -172,6 +172,9 @@
 	Err string `json:"err,omitempty"`
 	// Asked repeats the ReadDocument's.
 	Asked Instant `json:"asked,omitempty"`
+	// Unchanged says that the platform's edition is still the one of the
+	// ReadDocument's After; the document is then left out.
+	Unchanged bool `json:"unchanged,omitempty"`
 }
 
 // PullArrived brings a peer's request for a document newer than what it has.
