Ask again for free after a cold refusal; don't start over for want of a token

And a shard of another version that had no token for its retry made the whole query start over, at the price of all its sub-requests.

Ruled out: more tokens; neither case is about extra load on upstreams.

Change: a refusal for cold costs nothing, since nothing has reached an upstream. A shard without a token is missing and doesn't make the plan outdated.

--- a/querier/failure_retry_test.go
+++ b/querier/failure_retry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/querier"
 )
 
 // ownersOf lists who the last event's Works went to.
@@ -216,3 +217,45 @@
 		t.Error("no first try went to a cold replica")
 	}
 }
+
+// A first try that a cold upstream's owner has no allowance for goes to a warm
+// replica, whatever the budget: nothing has reached an upstream.
+func TestColdRefusalCostsNothing(t *testing.T) {
+	d := newDriver(t, deskFleet(40, 4, 2))
+	d.q = querier.New(querier.Config{Seed: 1, ExtraBurst: 1})
+	works, owners := d.fanOut(1, "routine")
+	a := d.answerTo(works[0], almondstep.ItemNotRun)
+	for i := range a.Items {
+		a.Items[i].Reason = almondstep.ReasonCold
+	}
+	d.at(2*ms, a)
+	asked := 0
+	for _, n := range d.ownersOf(d.works()) {
+		asked += n
+	}
+	if got, want := asked, len(works[0].Items); got != want {
+		t.Errorf("%d of %s's items were asked for again, want %d", got, owners[0], want)
+	}
+}
+
+// A query doesn't start over because its budget has no token for a retry: the
+// retry would be one sub-request, starting over all of them.
+func TestNoReplanForWantOfTokens(t *testing.T) {
+	f := deskFleet(40, 4, 2)
+	d := newDriver(t, f)
+	d.q = querier.New(querier.Config{Seed: 1, ExtraPerMille: 1, ExtraBurst: 1})
+	works, owners := d.fanOut(1, "routine")
+	for i := range f.Servers {
+		newer := f.Servers[i].Holdings[0]
+		newer.Version = 8
+		f.Servers[i].Holdings = append(f.Servers[i].Holdings, newer)
+	}
+	d.v = f.view()
+	d.at(2*ms, answer(owners[0], works[0], almondstep.ItemWrongVersion, almondstep.ItemWrongVersion))
+	if got, want := len(d.works()), 0; got != want {
+		t.Errorf("%d Works, want %d", got, want)
+	}
+	if got, want := d.q.Counters().Replans, uint64(0); got != want {
+		t.Errorf("%d replans, want %d", got, want)
+	}
+}
--- a/querier/query.go
+++ b/querier/query.go
@@ -91,6 +91,9 @@
 	begun  uint8
 	count  uint8
 	picked bool
+	// unpaid says that there is another replica, but the budget is used up: to
+	// start over for that would cost far more.
+	unpaid bool
 	tries  [maxTries]try
 	reason almondstep.Reason
 }
--- a/querier/retry.go
+++ b/querier/retry.go
@@ -23,7 +23,7 @@
 // costsNothing says whether a try that was refused for this reason left the
 // upstream unharmed, so that asking elsewhere needs no token.
 func (f failure) costsNothing() bool {
-	return f.notRun && f.reason != almondstep.ReasonShed && f.reason != almondstep.ReasonCold
+	return f.notRun && f.reason != almondstep.ReasonShed
 }
 
 // retryFailed asks again for the shards whose tries failed in this event.
@@ -65,6 +65,7 @@
 		return true
 	}
 	if !q.budget.Take() {
+		sh.unpaid = true
 		return false
 	}
 	q.counters.Retries++
@@ -121,7 +122,7 @@
 	sh.state = shardMissing
 	sh.reason = reason
 	qu.missing++
-	if qu.sent == 0 {
+	if qu.sent == 0 || sh.unpaid {
 		return
 	}
 	if needsNewerPlan(reason) || !planner.Offered(q.view, qu.plan.Targets()[target].Shard(), qu.plan.Version()) {
