Control under failure: tests, cost, and links that share the zone probes

Cause: the promises of the control partition (one owner per upstream again after a loss, zones out, leaving upstreams, platform outages, pauses, cuts) had no tests, and its cost was unknown. A digest that came unasked was taken for fresh though it may have lain in a paused process's socket.

Change: failure tests in virtual time, each against the stated bound. Ages in a digest count from when it was asked for. The probes that confirm the configuration of other zones are shared: two daemons for each other zone, ranked by rendezvous, in place of the zone's two relays for all.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -88,11 +88,11 @@
 	case *almondstep.ControlTick:
 		out = c.tick(now, out)
 	case *almondstep.ProbeArrived:
-		out = c.hear(now, &e.Digest, out)
+		out = c.hear(now, notAsked, &e.Digest, out)
 		out = c.prober.Arrived(now, e, out)
 	case *almondstep.ProbeEnded:
 		if e.Digest != nil {
-			out = c.hear(now, e.Digest, out)
+			out = c.hear(now, c.askedAt(e), e.Digest, out)
 		}
 		out = c.prober.Ended(now, e, out)
 	case *almondstep.PeerHeard:
@@ -123,11 +123,21 @@
 	return out
 }
 
+// askedAt is when the answer to a probe was asked for.
+func (c *Control) askedAt(e *almondstep.ProbeEnded) almondstep.Instant {
+	if sent, open := c.prober.SentAt(e.To); open && e.Target == "" {
+		return sent
+	}
+	return notAsked
+}
+
 // hear takes what a peer's digest says of documents, zones, upstreams and
 // requests. The prober takes the rest.
-func (c *Control) hear(now almondstep.Instant, d *almondstep.Digest, out []almondstep.Effect) []almondstep.Effect {
-	out = c.docs.Heard(now, d.From, d.Addr, d.Documents, out)
-	c.freshness.hear(now, d, c.revision)
+func (c *Control) hear(now, sent almondstep.Instant, d *almondstep.Digest, out []almondstep.Effect) []almondstep.Effect {
+	out = c.docs.Heard(now, sent, d.From, d.Addr, d.Documents, out)
+	if sent != notAsked {
+		c.freshness.hear(sent, d, c.revision)
+	}
 	for i := range d.Rumors {
 		c.hearRumor(now, &d.Rumors[i])
 	}
--- a/controller/documents.go
+++ b/controller/documents.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"almondstep"
 	"almondstep/parser"
@@ -16,25 +17,25 @@
 	Reduce(now almondstep.Instant, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect
 	// Tick asks the platform; a relay watches it all the time.
 	Tick(now almondstep.Instant, relay bool, out []almondstep.Effect) []almondstep.Effect
-	// Heard pulls what a peer has newer.
-	Heard(now almondstep.Instant, from almondstep.DaemonID, addr almondstep.Address, states []almondstep.DocumentState, out []almondstep.Effect) []almondstep.Effect
+	// Heard pulls what a peer has newer. The ages in states count from sent, when
+	// this daemon asked; notAsked if it didn't.
+	Heard(now, sent almondstep.Instant, from almondstep.DaemonID, addr almondstep.Address, states []almondstep.DocumentState, out []almondstep.Effect) []almondstep.Effect
 	// States says what is held.
 	States(now almondstep.Instant) []almondstep.DocumentState
 	// Document gives the newest edition, nil if there is none.
 	Document(name almondstep.DocumentName) *almondstep.Document
 }
 
+// notAsked is when a digest that came unasked was asked for. It may have lain in
+// a paused process's socket, so that its ages mean nothing.
+const notAsked = almondstep.Instant(-1)
+
 // relaysPerZone is how many daemons of a zone watch the platform.
 const relaysPerZone = 2
 
 // isRelay says whether this daemon watches the platform for its zone.
 func (c *Control) isRelay() bool {
-	for _, id := range c.view.relays {
-		if id == c.cfg.Self {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.view.relays, c.cfg.Self)
 }
 
 // takeDocuments puts newer editions in force. Each is news for the peers.
--- /dev/null
+++ b/controller/failure_test.go
@@ -0,0 +1,356 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondstep"
+)
+
+// recoveryBound is how long after a crash another daemon has the lost one's
+// upstreams fully: WitnessTTL and the margin since the last renewal, then one
+// inquiry of its witnesses. See prober/README.md.
+const recoveryBound = 7 * time.Second
+
+// untilFull runs until all upstreams are fully owned, at most bound.
+func (f *fleet) untilFull(bound time.Duration) (time.Duration, bool) {
+	began := f.now
+	for f.now-began < bound {
+		f.runFor(50 * time.Millisecond)
+		if f.fullAll() == len(f.list.Upstreams) {
+			return f.now - began, true
+		}
+	}
+	return bound, false
+}
+
+// After a crash the dead daemon's upstreams have a full owner within the bound.
+func TestOwnerLostIsReplaced(t *testing.T) {
+	for _, n := range []int{2, 3, 5, 9, 24} {
+		worst := time.Duration(0)
+		for seed := range uint64(20) {
+			f := zoneOf(seed, n, 30)
+			f.runFor(12 * time.Second)
+			if got, want := f.fullAll(), 30; got != want {
+				t.Fatalf("%d daemons, seed %d: %d owned before, want %d", n, seed, got, want)
+			}
+			f.nodes[f.fullOwner("z-0:80")].dead = true
+			took, ok := f.untilFull(recoveryBound)
+			if !ok {
+				t.Errorf("%d daemons, seed %d: %d owned after %v, want 30", n, seed, f.fullAll(), took)
+			}
+			worst = max(worst, took)
+		}
+		t.Logf("%d daemons: longest recovery %v", n, worst)
+	}
+}
+
+// fullOwner finds the daemon that may load an upstream fully.
+func (f *fleet) fullOwner(addr almondstep.Address) almondstep.DaemonID {
+	for _, id := range f.ids {
+		if f.active(f.nodes[id], addr) {
+			return id
+		}
+	}
+	return ""
+}
+
+// A platform outage takes no grant away while nothing else fails.
+func TestPlatformOutageLosesNoGrant(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 6, 9} {
+		f := zoneOf(3, n, 20)
+		f.runFor(12 * time.Second)
+		f.outage = true
+		for range 600 {
+			f.runFor(100 * time.Millisecond)
+			if got, want := f.fullAll(), 20; got != want {
+				t.Fatalf("%d daemons: %d fully owned at %v, want %d", n, got, f.now, want)
+			}
+		}
+	}
+}
+
+// A daemon that is cut off from all others keeps no full grant, and may use
+// each upstream one request at a time.
+func TestLoneDaemonKeepsOnlyWarmGrants(t *testing.T) {
+	f := zoneOf(4, 3, 20)
+	f.runFor(12 * time.Second)
+	f.isolate("d0")
+	f.runFor(10 * time.Second)
+	view := f.nodes["d0"].view
+	if got, want := len(view.OwnedAll()), 20; got != want {
+		t.Errorf("lone daemon stands in for %d upstreams, want %d", got, want)
+	}
+	for addr, o := range view.OwnedAll() {
+		if got, want := o.Grant(), almondstep.GrantWarmOnly; got != want {
+			t.Errorf("grant of %s = %d, want %d", addr, got, want)
+		}
+	}
+	if got, want := f.fullAll(), 20; got != want {
+		t.Errorf("the other two own %d upstreams fully, want %d", got, want)
+	}
+}
+
+func (f *fleet) isolate(id almondstep.DaemonID) {
+	f.cut[link{id, platform}] = true
+	for _, o := range f.ids {
+		f.cut[link{id, o}] = true
+		f.cut[link{o, id}] = true
+	}
+}
+
+// A daemon that wakes from a pause has no grant left, even before it has heard
+// anything.
+func TestPausedDaemonWakesWithoutGrant(t *testing.T) {
+	f := zoneOf(5, 3, 20)
+	f.runFor(12 * time.Second)
+	n := f.nodes["d0"]
+	n.paused = f.now + 8*time.Second
+	f.runFor(8*time.Second + almondstep.TickEvery)
+	for addr := range n.view.OwnedAll() {
+		if f.active(n, addr) {
+			t.Errorf("woke with a grant for %s", addr)
+		}
+	}
+}
+
+// When a cut heals, the daemon joins again with few probes, and owns again.
+func TestRejoinsWithoutAStorm(t *testing.T) {
+	const n = 24
+	f := zoneOf(6, n, 40)
+	f.runFor(12 * time.Second)
+	usual := f.probesPerSecond(10)
+	f.isolate("d0")
+	f.runFor(30 * time.Second)
+	clear(f.cut)
+	busiest := 0.0
+	for range 10 {
+		busiest = max(busiest, f.probesPerSecond(1))
+	}
+	if got, want := busiest, 3*usual; got > want {
+		t.Errorf("%.0f probes a second after the cut, want at most %.0f", got, want)
+	}
+	if took, ok := f.untilFull(20 * time.Second); !ok {
+		t.Errorf("%d of 40 fully owned %v after the cut", f.fullAll(), took)
+	}
+	if got := len(f.nodes["d0"].view.OwnedAll()); got == 0 {
+		t.Error("the daemon that was cut off owns nothing again")
+	}
+	t.Logf("%.0f probes a second usually, %.0f at most after the cut", usual, busiest)
+}
+
+func (f *fleet) probesPerSecond(seconds int) float64 {
+	before := f.probes()
+	f.runFor(time.Duration(seconds) * time.Second)
+	return float64(f.probes()-before) / float64(seconds)
+}
+
+func (f *fleet) probes() int {
+	sum := 0
+	for _, id := range f.ids {
+		sum += f.nodes[id].probes
+	}
+	return sum
+}
+
+// A planned stop hands over without the wait of a crash.
+func TestStopHandsOver(t *testing.T) {
+	f := zoneOf(7, 3, 30)
+	f.runFor(12 * time.Second)
+	n := f.nodes["d0"]
+	f.deliver(n, &almondstep.StopRequested{})
+	if got, want := n.view.Unready(), "stopping"; got != want {
+		t.Errorf("unready %q, want %q", got, want)
+	}
+	if !n.view.Stopping() || len(n.view.OwnedAll()) != 0 {
+		t.Errorf("stopping %v with %d owned, want true and 0", n.view.Stopping(), len(n.view.OwnedAll()))
+	}
+	const bound = 2500 * time.Millisecond
+	took, ok := f.untilFull(bound)
+	if !ok {
+		t.Errorf("%d of 30 fully owned %v after the stop", f.fullAll(), took)
+	}
+	t.Logf("handed over in %v", took)
+}
+
+// zones starts a fleet of several zones with daemons and upstreams in each.
+func zones(seed uint64, names []almondstep.ZoneName, daemons, upstreams int) *fleet {
+	f := newFleet(seed)
+	f.setConfig(names, nil)
+	for _, z := range names {
+		f.addUpstreams(z, upstreams)
+	}
+	for _, z := range names {
+		for i := range daemons {
+			f.start(almondstep.DaemonID(fmt.Sprintf("%s-d%d", z, i)), z)
+		}
+	}
+	return f
+}
+
+var threeZones = []almondstep.ZoneName{"curico-plant", "rengo-depot", "chillan-yard"}
+
+// targets lists the zones a daemon's view still sends new work to.
+func (n *node) targets() map[almondstep.ZoneName]int {
+	count := make(map[almondstep.ZoneName]int)
+	for _, p := range n.view.Placements("lots") {
+		for i := range p.Of() {
+			for _, r := range p.Replicas(i) {
+				count[r.Zone()]++
+			}
+		}
+	}
+	return count
+}
+
+// A zone that is taken out gets no new work from any daemon 3 s after the edit,
+// also from daemons that can't reach the platform.
+func TestZoneOutWithinThreeSeconds(t *testing.T) {
+	for seed := range uint64(10) {
+		f := zones(seed, threeZones, 3, 6)
+		f.runFor(12 * time.Second)
+		for _, id := range f.ids[3:6] {
+			f.cut[link{id, platform}] = true
+		}
+		f.runFor(10 * time.Second)
+		for _, id := range f.ids {
+			if got, want := f.nodes[id].targets()["curico-plant"], 6; got != want {
+				t.Fatalf("seed %d: %s sees %d replicas before, want %d", seed, id, got, want)
+			}
+		}
+		f.setConfig(threeZones, threeZones[:1])
+		f.runFor(3 * time.Second)
+		for _, id := range f.ids {
+			n := f.nodes[id]
+			if got, want := n.targets()["curico-plant"], 0; got != want {
+				t.Errorf("seed %d: %s sends to %d replicas of the zone, want %d", seed, id, got, want)
+			}
+			if got, want := n.view.Ready(), n.zone != "curico-plant"; got != want {
+				t.Errorf("seed %d: %s ready = %v, want %v", seed, id, got, want)
+			}
+		}
+		for _, id := range f.ids[:3] {
+			if got := f.nodes[id].targets()["rengo-depot"]; got == 0 {
+				t.Errorf("seed %d: %s of the zone out sends nothing elsewhere", seed, id)
+			}
+		}
+	}
+}
+
+// A zone cut off from the platform and the other zones stops sending to them,
+// goes on with itself, and is used again when the cut heals.
+func TestZoneCutOffServesItself(t *testing.T) {
+	f := zones(8, threeZones, 3, 6)
+	f.runFor(12 * time.Second)
+	alone := f.ids[:3]
+	for _, id := range alone {
+		f.cut[link{id, platform}] = true
+		for _, o := range f.ids[3:] {
+			f.cut[link{id, o}] = true
+			f.cut[link{o, id}] = true
+		}
+	}
+	f.setConfig(threeZones, threeZones[1:2])
+	f.runFor(3500 * time.Millisecond)
+	for _, id := range alone {
+		got := f.nodes[id].targets()
+		if got["rengo-depot"] != 0 || got["curico-plant"] != 6 {
+			t.Errorf("%s sends to %v, want only its own zone", id, got)
+		}
+	}
+	f.runFor(20 * time.Second)
+	if got, want := f.fullAll(), 18; got != want {
+		t.Errorf("%d upstreams fully owned during the cut, want %d", got, want)
+	}
+	clear(f.cut)
+	f.setConfig(threeZones, nil)
+	f.runFor(20 * time.Second)
+	for _, id := range f.ids {
+		for _, z := range threeZones {
+			if got, want := f.nodes[id].targets()[z], 6; got != want {
+				t.Errorf("%s sees %d replicas of %s after the cut, want %d", id, got, z, want)
+			}
+		}
+	}
+}
+
+// All zones keep working across each other through a long platform outage.
+func TestZonesConfirmEachOtherWithoutThePlatform(t *testing.T) {
+	f := zones(9, threeZones, 3, 6)
+	f.runFor(12 * time.Second)
+	f.outage = true
+	f.runFor(5 * time.Second)
+	stale := 0
+	for range 300 {
+		f.runFor(100 * time.Millisecond)
+		for _, id := range f.ids {
+			for _, z := range threeZones {
+				if f.nodes[id].targets()[z] != 6 {
+					stale++
+				}
+			}
+		}
+	}
+	if got, want := stale, 0; got != want {
+		t.Errorf("a zone was left out %d times of %d, want %d", got, 300*9*3, want)
+	}
+}
+
+// An upstream that is leaving is out of all placements within 2 s of the first
+// sign, whichever it is.
+func TestLeavingWithinTwoSeconds(t *testing.T) {
+	const addr = almondstep.Address("rengo-depot-2:80")
+	signs := map[string]func(*fleet){
+		"mark": func(f *fleet) {
+			f.deliver(f.nodes[f.ids[0]], &almondstep.MarkUpstream{Addr: addr, Boot: "boot-1", Temperature: almondstep.Leaving})
+		},
+		"list": func(f *fleet) {
+			for i := range f.list.Upstreams {
+				if f.list.Upstreams[i].Addr == addr {
+					f.list.Upstreams[i].State = almondstep.VMLeaving
+				}
+			}
+			f.list.Revision++
+		},
+	}
+	for name, sign := range signs {
+		t.Run(name, func(t *testing.T) {
+			f := zones(10, threeZones, 9, 6)
+			f.runFor(15 * time.Second)
+			sign(f)
+			f.runFor(2 * time.Second)
+			for _, id := range f.ids {
+				if got, want := f.nodes[id].targets()["rengo-depot"], 5; got != want {
+					t.Errorf("%s sends to %d replicas, want %d", id, got, want)
+				}
+			}
+		})
+	}
+}
+
+// A request that has crashed two upstreams, each seen by another daemon, is
+// refused everywhere, and is let through again when its time is over.
+func TestQuarantineReachesAllAndEnds(t *testing.T) {
+	const crasher = almondstep.Fingerprint(99)
+	f := zones(11, threeZones, 3, 6)
+	f.runFor(12 * time.Second)
+	f.deliver(f.nodes[f.ids[0]], &almondstep.ReportCrash{Fingerprint: crasher, Upstream: "a"})
+	f.runFor(2 * time.Second)
+	if f.nodes[f.ids[5]].view.Quarantined(crasher) {
+		t.Error("one crash brought a quarantine")
+	}
+	f.deliver(f.nodes[f.ids[5]], &almondstep.ReportCrash{Fingerprint: crasher, Upstream: "b"})
+	f.runFor(2 * time.Second)
+	for _, id := range f.ids {
+		if got, want := f.nodes[id].view.Quarantined(crasher), true; got != want {
+			t.Errorf("%s refuses the request: %v, want %v", id, got, want)
+		}
+	}
+	f.runFor(10*time.Minute + time.Second)
+	for _, id := range f.ids {
+		if got, want := f.nodes[id].view.Quarantined(crasher), false; got != want {
+			t.Errorf("%s still refuses the request: %v, want %v", id, got, want)
+		}
+	}
+}
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -24,6 +24,7 @@
 	latency time.Duration
 
 	list      almondstep.Fleet
+	listDoc   almondstep.Document
 	config    almondstep.Document
 	outage    bool
 	lease     map[almondstep.ZoneName]leaseHolder
@@ -330,8 +331,11 @@
 	if name == almondstep.DocumentConfig {
 		return f.config
 	}
-	body, _ := json.Marshal(f.list)
-	return almondstep.Document{Name: name, Revision: f.list.Revision, Hash: almondstep.HashOf(body), Body: body}
+	if f.listDoc.Revision != f.list.Revision {
+		body, _ := json.Marshal(f.list)
+		f.listDoc = almondstep.Document{Name: name, Revision: f.list.Revision, Hash: almondstep.HashOf(body), Body: body}
+	}
+	return f.listDoc
 }
 
 func (f *fleet) takeLease(n *node, e *almondstep.TakeZoneLease) {
--- a/controller/freshness.go
+++ b/controller/freshness.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"almondstep"
@@ -10,7 +11,7 @@
 	// freshFor is how long a confirmation of the configuration allows work for
 	// another zone, which operators may have taken out meanwhile.
 	freshFor = 2500 * time.Millisecond
-	// zoneProbeEvery is the time between a relay's probes of each other zone.
+	// zoneProbeEvery is the time between a link's probes of its other zone.
 	zoneProbeEvery = time.Second
 )
 
@@ -24,15 +25,16 @@
 func (f *freshness) init() { f.confirmed = make(map[almondstep.ZoneName]almondstep.Instant) }
 
 // hear takes a digest's word for its own zone and what it passes on of others.
-// A sender with a newer configuration confirms nothing.
-func (f *freshness) hear(now almondstep.Instant, d *almondstep.Digest, revision almondstep.Revision) {
+// Its ages count from sent, when it was asked for. A sender with a newer
+// configuration confirms nothing.
+func (f *freshness) hear(sent almondstep.Instant, d *almondstep.Digest, revision almondstep.Revision) {
 	theirs := configRevision(d)
 	if theirs > revision || theirs == 0 {
 		return
 	}
-	f.confirm(d.Zone, now)
+	f.confirm(d.Zone, sent)
 	for _, z := range d.Zones {
-		f.confirm(z.Zone, now.Add(-z.Age))
+		f.confirm(z.Zone, sent.Add(-z.Age))
 	}
 }
 
@@ -86,16 +88,39 @@
 	return false
 }
 
-// probeZones lets a relay probe a daemon of each other zone.
+// linksPerZone is how many daemons of a zone probe each other zone.
+const linksPerZone = 2
+
+// electLinks finds the zones this daemon probes for its own. Each other zone has
+// its own two daemons here, so that the cost is shared.
+func (c *Control) electLinks() {
+	c.view.links = c.view.links[:0]
+	for _, z := range c.zones {
+		if z != c.cfg.Zone && slices.Contains(c.firstLive("link/"+string(z), linksPerZone), c.cfg.Self) {
+			c.view.links = append(c.view.links, z)
+		}
+	}
+}
+
+// firstLive gives the first n live daemons of the own zone for a key.
+func (c *Control) firstLive(key string, n int) []almondstep.DaemonID {
+	var live []almondstep.DaemonID
+	for _, id := range c.rank.Order(key) {
+		if len(live) < n && c.prober.Routable(id) {
+			live = append(live, id)
+		}
+	}
+	return live
+}
+
+// probeZones probes a daemon of each zone this one is the link to.
 func (c *Control) probeZones(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
-	if !c.isRelay() || now.Sub(c.lastProbe) < zoneProbeEvery {
+	if now.Sub(c.lastProbe) < zoneProbeEvery {
 		return out
 	}
 	c.lastProbe = now
-	for _, z := range c.zones {
-		if z != c.cfg.Zone {
-			out = c.prober.ProbeZone(now, z, out)
-		}
+	for _, z := range c.view.links {
+		out = c.prober.ProbeZone(now, z, out)
 	}
 	return out
 }
--- a/controller/holder.go
+++ b/controller/holder.go
@@ -86,15 +86,15 @@
 }
 
 // Heard pulls what a peer has newer.
-func (h *holder) Heard(now almondstep.Instant, from almondstep.DaemonID, addr almondstep.Address, states []almondstep.DocumentState, out []almondstep.Effect) []almondstep.Effect {
+func (h *holder) Heard(now, sent almondstep.Instant, from almondstep.DaemonID, addr almondstep.Address, states []almondstep.DocumentState, out []almondstep.Effect) []almondstep.Effect {
 	for _, s := range states {
 		d := h.find(s.Name)
 		if d == nil {
 			continue
 		}
 		mine := d.state(now)
-		if s.Revision == mine.Revision && s.Hash == mine.Hash && s.Age != almondstep.AgeUnknown {
-			d.confirm(now.Add(-s.Age))
+		if s.Revision == mine.Revision && s.Hash == mine.Hash && s.Age != almondstep.AgeUnknown && sent != notAsked {
+			d.confirm(sent.Add(-s.Age))
 		}
 		if s.Revision > mine.Revision && now >= d.nextPull {
 			d.nextPull = now.Add(pullRetry)
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -23,9 +23,12 @@
 	placements    map[almondstep.ServiceName][]almondstep.Placement
 	peers         map[almondstep.DaemonID]almondstep.Address
 	peersOf       almondstep.Revision
-	relays        []almondstep.DaemonID
-	open          map[almondstep.ZoneName]bool
-	published     bool
+	// relays watch the platform for the zone; links are the zones that this
+	// daemon probes for it.
+	relays    []almondstep.DaemonID
+	links     []almondstep.ZoneName
+	open      map[almondstep.ZoneName]bool
+	published bool
 }
 
 // publish makes a view if one of its parts has changed.
@@ -35,7 +38,8 @@
 	}
 	if c.prober.TakeChanged() {
 		c.rankOwned()
-		c.electRelays()
+		c.view.relays = c.firstLive("relay/"+string(c.cfg.Zone), relaysPerZone)
+		c.electLinks()
 		c.view.placementsDirty = true
 	}
 	if c.weighGrants(now) || c.extended(now) {
@@ -85,16 +89,6 @@
 	c.view.dirty = true
 }
 
-// electRelays names the live daemons of the zone that watch the platform.
-func (c *Control) electRelays() {
-	c.view.relays = c.view.relays[:0]
-	for _, id := range c.rank.Relays(c.cfg.Zone, c.rank.Len()) {
-		if c.prober.Routable(id) && len(c.view.relays) < relaysPerZone {
-			c.view.relays = append(c.view.relays, id)
-		}
-	}
-}
-
 func (c *Control) publishIfDirty(out []almondstep.Effect) []almondstep.Effect {
 	if !c.view.dirty && c.view.published {
 		return out
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -73,12 +73,13 @@
 	return append(out, &almondstep.SendProbe{To: m.id, Addr: m.addr, Digest: d, Timeout: ProbeTimeout})
 }
 
-// Probe probes a daemon now, for instance a peer of another zone.
-func (p *Prober) Probe(now almondstep.Instant, id almondstep.DaemonID, out []almondstep.Effect) []almondstep.Effect {
-	if m := p.members[id]; m != nil {
-		return p.send(now, m, false, out)
+// SentAt is when the open probe of a daemon was sent; false if there is none.
+func (p *Prober) SentAt(id almondstep.DaemonID) (almondstep.Instant, bool) {
+	m := p.members[id]
+	if m == nil || !m.probe.open {
+		return 0, false
 	}
-	return out
+	return m.probe.sentAt, true
 }
 
 // Heard takes evidence from traffic. A failed call is no verdict: it brings the
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -85,12 +85,6 @@
 	return cmp.Compare(a, b)
 }
 
-// Relays lists the n daemons of a zone that watch the platform for the others.
-func (r *Ranker) Relays(zone almondstep.ZoneName, n int) []almondstep.DaemonID {
-	order := r.Order("relay/" + string(zone))
-	return order[:min(n, len(order))]
-}
-
 // Home is the daemon that writes the claims of a bucket, such as "claims/7".
 func (r *Ranker) Home(bucket string, accept func(almondstep.DaemonID) bool) almondstep.DaemonID {
 	return r.First("home/"+bucket, accept)
