Witnesses that start again, storms after a cut, and views before answers

Change: a witness's word counts for 2 s after it was asked for, and a daemon becomes a voter only on answers it asked for after its own first 2 s, from a quorum of voters or from all others; by then nobody goes by what it said before. Any word of Gone is a warning that keeps a newcomer from vouching. Gone is told only of a daemon's newest epoch. Leaving is final for an epoch rather than an id.

Three more causes, from TestRejoinsWithoutAStorm: all renewals fell on one tick, a daemon that was cut off spread its own mistaken suspicions, and each refutation was pushed. Now renewals have jitter, a daemon without a quorum keeps its suspicions to itself, refutations travel with ordinary digests, and pushes are limited to a burst of 2 and one a second. A daemon without a list of VMs no longer begins an epoch each tick.

A probe is answered only after the view that follows from it is published, since the peer counts on it; changes of members are looked at once a tick, except for a daemon of the zone that was unknown.

Conclusion: a daemon may keep its id over a restart, if its epoch rises.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -89,10 +89,12 @@
 		out = c.tick(now, out)
 	case *almondstep.ProbeArrived:
 		out = c.hear(now, notAsked, &e.Digest, out)
-		out = c.prober.Arrived(now, e, out)
+		c.prober.Arrived(now, e)
+		out = c.publish(now, out)
+		out = c.prober.Answer(now, e, out)
 	case *almondstep.ProbeEnded:
 		if e.Digest != nil {
-			out = c.hear(now, c.askedAt(e), e.Digest, out)
+			out = c.hear(now, c.prober.AskedAt(e), e.Digest, out)
 		}
 		out = c.prober.Ended(now, e, out)
 	case *almondstep.PeerHeard:
@@ -120,15 +122,10 @@
 	if c.quarantine.expire(now) {
 		c.view.dirty = true
 	}
-	return out
-}
-
-// askedAt is when the answer to a probe was asked for.
-func (c *Control) askedAt(e *almondstep.ProbeEnded) almondstep.Instant {
-	if sent, open := c.prober.SentAt(e.To); open && e.Target == "" {
-		return sent
+	if c.prober.TakeChanged() {
+		c.view.membersChanged = true
 	}
-	return notAsked
+	return out
 }
 
 // hear takes what a peer's digest says of documents, zones, upstreams and
@@ -192,6 +189,7 @@
 func (c *Control) stop() {
 	c.stopping = true
 	c.view.dirty = true
+	c.view.membersChanged = true
 	c.prober.Leave()
 }
 
--- a/controller/documents.go
+++ b/controller/documents.go
@@ -95,7 +95,7 @@
 	c.prober.SetFleet(now, &f)
 	c.marks.setFleet(&f)
 	c.indexZones()
-	c.leaveIfListed()
+	c.followList()
 	c.prober.Push()
 	c.view.placementsDirty = true
 	return out
@@ -119,12 +119,16 @@
 	}
 }
 
-// leaveIfListed gives up what this daemon owns if the list says that its VM is
+// followList gives up what this daemon owns while the list says that its VM is
 // about to go.
-func (c *Control) leaveIfListed() {
+func (c *Control) followList() {
 	for _, vm := range c.fleet.Daemons {
-		if vm.ID == c.cfg.Self && vm.State == almondstep.VMLeaving {
+		switch {
+		case vm.ID != c.cfg.Self:
+		case vm.State == almondstep.VMLeaving:
 			c.prober.Leave()
+		case !c.stopping:
+			c.prober.Rejoin()
 		}
 	}
 }
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -17,6 +17,9 @@
 	dirty bool
 	// placementsDirty says that who serves what may have changed.
 	placementsDirty bool
+	// membersChanged says that other daemons may be routable. It is looked at
+	// once a tick, since many change at once when a zone is cut off.
+	membersChanged bool
 	// placementsOld says the same of a change that may wait for rebuildEvery.
 	placementsOld bool
 	rebuiltAt     almondstep.Instant
@@ -36,7 +39,8 @@
 	if c.fleet == nil {
 		return c.publishIfDirty(out)
 	}
-	if c.prober.TakeChanged() {
+	if c.prober.TakeUrgent() || c.view.membersChanged {
+		c.view.membersChanged = false
 		c.rankOwned()
 		c.view.relays = c.firstLive("relay/"+string(c.cfg.Zone), relaysPerZone)
 		c.electLinks()
--- a/prober/digest.go
+++ b/prober/digest.go
@@ -41,29 +41,38 @@
 // receiver is among them, it comes first.
 func (p *Prober) goneList(to *member) []almondstep.GoneDaemon {
 	var gone []almondstep.GoneDaemon
-	if to.saidGone != 0 {
+	if to.isGone() {
 		gone = append(gone, goneDaemon(to))
 	}
 	for _, m := range p.all {
-		if m != to && m.saidGone != 0 && m.listed && !m.hasLeft && len(gone) < goneMax {
+		if m != to && m.isGone() && m.listed && !m.hasLeft && len(gone) < goneMax {
 			gone = append(gone, goneDaemon(m))
 		}
 	}
 	return gone
 }
 
+// isGone says whether this daemon has said Gone of the member's newest epoch.
+func (m *member) isGone() bool {
+	return m.saidGone != 0 && m.saidGone >= epochOf(m.incarnation)
+}
+
 func goneDaemon(m *member) almondstep.GoneDaemon {
 	return almondstep.GoneDaemon{Daemon: m.id, Incarnation: newEpoch(m.saidGone)}
 }
 
-// absorb takes what a digest says of daemons. Rumors about upstreams and
-// requests are the controller's.
-func (p *Prober) absorb(now almondstep.Instant, d *almondstep.Digest) {
+// notAsked is when a digest that came unasked was asked for.
+const notAsked = almondstep.Instant(-1)
+
+// absorb takes what a digest says of daemons; sent is when it was asked for.
+// Rumors about upstreams and requests are the controller's.
+func (p *Prober) absorb(now, sent almondstep.Instant, d *almondstep.Digest) {
 	if d.From == p.cfg.Self {
 		return
 	}
 	m := p.ensure(now, d.From, d.Addr, d.Zone)
-	if epochOf(d.Incarnation) >= epochOf(m.incarnation) && !m.hasLeft {
+	theirs, known := epochOf(d.Incarnation), epochOf(m.incarnation)
+	if theirs > known || theirs == known && !m.hasLeft {
 		p.alive(now, m, d.Incarnation)
 	}
 	for i := range d.Rumors {
@@ -71,7 +80,7 @@
 			p.hearMember(now, &d.Rumors[i])
 		}
 	}
-	p.hearGone(now, m, d)
+	p.hearGone(now, sent, m, d)
 }
 
 // alive takes a message from the member itself as evidence. Only a higher
--- a/prober/member.go
+++ b/prober/member.go
@@ -51,7 +51,10 @@
 	ackAt      almondstep.Instant
 	nextRenew  almondstep.Instant
 	refused    uint64
-	knowsMe    bool
+	// knowsMe says that its list of VMs names this daemon; votes, that it has
+	// vouched, so that it is admitted itself.
+	knowsMe bool
+	votes   bool
 	// nextInquiry is when it may be asked for a verdict again.
 	nextInquiry almondstep.Instant
 
@@ -60,16 +63,25 @@
 	renewedAt    almondstep.Instant
 	epochAt      almondstep.Instant
 	saidGone     uint64
+	// warned is the newest epoch of which any witness has said Gone.
+	warned uint64
 
 	// the verdict about it
 	witnesses   []almondstep.DaemonID
 	witnessesAt almondstep.Instant
-	goneBy      map[almondstep.DaemonID]uint64
+	goneBy      map[almondstep.DaemonID]statement
 	gone        uint64
 	leftAt      almondstep.Instant
 	hasLeft     bool
 }
 
+// statement is a witness's word that a daemon's epoch is gone, and when it was
+// asked for.
+type statement struct {
+	epoch uint64
+	asked almondstep.Instant
+}
+
 // outstanding is the one direct probe that a member may have not answered yet.
 type outstanding struct {
 	open        bool
@@ -98,6 +110,8 @@
 	}
 	if epochOf(incarnation) > epochOf(m.incarnation) {
 		m.epochAt = now
+		m.hasLeft = false
+		m.listLeaving = false
 	}
 	m.incarnation = incarnation
 }
@@ -142,6 +156,15 @@
 			continue
 		}
 		p.turn(now, m, almondstep.MemberDead)
+		p.accuse(now, m)
+	}
+}
+
+// accuse spreads a suspicion or a death, unless this daemon is itself cut off
+// from its witnesses: then all others seem dead, and what it says of them would
+// only make each of them refute when the cut heals.
+func (p *Prober) accuse(now almondstep.Instant, m *member) {
+	if _, ok := p.VouchedUntil(now); ok {
 		p.announce(m, true)
 	}
 }
@@ -153,7 +176,7 @@
 		return
 	}
 	m := p.ensure(now, r.Daemon, r.Addr, r.Zone)
-	if m.hasLeft || !supersedes(r, m) {
+	if !supersedes(r, m) {
 		return
 	}
 	m.learn(now, r.Incarnation)
@@ -163,8 +186,12 @@
 
 // supersedes says whether a rumor is newer than what is known of the member.
 func supersedes(r *almondstep.Rumor, m *member) bool {
-	if r.Member == almondstep.MemberLeft {
-		return true
+	theirs, known := epochOf(r.Incarnation), epochOf(m.incarnation)
+	if theirs != known {
+		return theirs > known
+	}
+	if m.hasLeft || r.Member == almondstep.MemberLeft {
+		return !m.hasLeft
 	}
 	if r.Incarnation != m.incarnation {
 		return r.Incarnation > m.incarnation
@@ -178,7 +205,7 @@
 		return
 	}
 	p.incarnation = r.Incarnation + 1
-	p.Spread(p.selfRumor(), true)
+	p.Spread(p.selfRumor(), false)
 }
 
 func (p *Prober) selfRumor() almondstep.Rumor {
@@ -206,6 +233,26 @@
 	p.Spread(p.selfRumor(), true)
 }
 
+// Rejoin begins a new epoch after the list of VMs has called this daemon leaving
+// and no longer does.
+func (p *Prober) Rejoin() {
+	if !p.left {
+		return
+	}
+	p.left = false
+	p.newEpoch()
+}
+
+// newEpoch begins the ownership rules anew.
+func (p *Prober) newEpoch() {
+	p.incarnation = newEpoch(p.epoch() + 1)
+	p.changed = true
+	p.Spread(p.selfRumor(), true)
+	for _, m := range p.all {
+		m.nextRenew = 0
+	}
+}
+
 // Left says whether this daemon has given up what it owns.
 func (p *Prober) Left() bool { return p.left }
 
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -1,10 +1,6 @@
 package prober
 
-import (
-	"time"
-
-	"almondstep"
-)
+import "almondstep"
 
 // indirectProbes is how many others are asked before a daemon is a suspect.
 const indirectProbes = 2
@@ -24,7 +20,7 @@
 // that the time until a daemon is probed is bounded.
 func (p *Prober) probeNext(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	if p.nextProbe == 0 {
-		p.nextProbe = now.Add(p.jitter())
+		p.nextProbe = now.Add(p.rng.upTo(ProbeEvery))
 		p.nextDead = now.Add(DeadProbeEvery)
 	}
 	if now >= p.nextDead {
@@ -58,10 +54,6 @@
 	return nil
 }
 
-func (p *Prober) jitter() time.Duration {
-	return time.Duration(p.rng.below(int(ProbeEvery)))
-}
-
 // send probes a member, unless an earlier probe is still open.
 func (p *Prober) send(now almondstep.Instant, m *member, renews bool, out []almondstep.Effect) []almondstep.Effect {
 	if m.probe.open {
@@ -73,13 +65,13 @@
 	return append(out, &almondstep.SendProbe{To: m.id, Addr: m.addr, Digest: d, Timeout: ProbeTimeout})
 }
 
-// SentAt is when the open probe of a daemon was sent; false if there is none.
-func (p *Prober) SentAt(id almondstep.DaemonID) (almondstep.Instant, bool) {
-	m := p.members[id]
-	if m == nil || !m.probe.open {
-		return 0, false
+// AskedAt is when the answer to a probe was asked for; negative if it isn't known.
+func (p *Prober) AskedAt(e *almondstep.ProbeEnded) almondstep.Instant {
+	m := p.members[e.To]
+	if m == nil || !m.probe.open || e.Target != "" {
+		return notAsked
 	}
-	return m.probe.sentAt, true
+	return m.probe.sentAt
 }
 
 // Heard takes evidence from traffic. A failed call is no verdict: it brings the
@@ -98,9 +90,14 @@
 	return out
 }
 
-// Arrived takes a peer's probe and answers it.
-func (p *Prober) Arrived(now almondstep.Instant, e *almondstep.ProbeArrived, out []almondstep.Effect) []almondstep.Effect {
-	p.absorb(now, &e.Digest)
+// Arrived takes what a peer's probe says. Answer answers it, once the view that
+// follows from it is in force: the peer counts on it.
+func (p *Prober) Arrived(now almondstep.Instant, e *almondstep.ProbeArrived) {
+	p.absorb(now, notAsked, &e.Digest)
+}
+
+// Answer answers a peer's probe.
+func (p *Prober) Answer(now almondstep.Instant, e *almondstep.ProbeArrived, out []almondstep.Effect) []almondstep.Effect {
 	if e.Target != "" {
 		return p.relay(now, e, out)
 	}
@@ -126,7 +123,7 @@
 // Ended takes the outcome of a probe this daemon sent.
 func (p *Prober) Ended(now almondstep.Instant, e *almondstep.ProbeEnded, out []almondstep.Effect) []almondstep.Effect {
 	if e.Digest != nil {
-		p.absorb(now, e.Digest)
+		p.absorb(now, p.AskedAt(e), e.Digest)
 	}
 	if e.Target != "" {
 		return p.endedIndirect(now, e, out)
@@ -212,6 +209,6 @@
 
 func (p *Prober) suspect(now almondstep.Instant, m *member) {
 	if p.turn(now, m, almondstep.MemberSuspect) {
-		p.announce(m, true)
+		p.accuse(now, m)
 	}
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -98,7 +98,10 @@
 	push    pusher
 	lease   zoneLease
 	relayed []relayedProbe
+	// changed says that routing may have changed; urgent, that a daemon of the
+	// zone was unknown before.
 	changed bool
+	urgent  bool
 }
 
 // New gives a prober that knows nobody yet.
@@ -132,6 +135,14 @@
 	return p.pushNews(now, out)
 }
 
+// TakeUrgent says whether the daemons that may hold a grant have become other
+// ones since it was last asked.
+func (p *Prober) TakeUrgent() bool {
+	u := p.urgent
+	p.urgent = false
+	return u
+}
+
 // TakeChanged says whether routing has changed since it was last asked.
 func (p *Prober) TakeChanged() bool {
 	c := p.changed
@@ -161,6 +172,7 @@
 	p.forget(now)
 	p.rankZone(now)
 	p.changed = true
+	p.urgent = true
 }
 
 func (p *Prober) list(now almondstep.Instant, vm almondstep.DaemonVM) {
@@ -222,10 +234,11 @@
 	if m := p.members[id]; m != nil {
 		return m
 	}
-	m := &member{id: id, addr: addr, zone: zone, knownAt: now, goneBy: make(map[almondstep.DaemonID]uint64)}
+	m := &member{id: id, addr: addr, zone: zone, knownAt: now, goneBy: make(map[almondstep.DaemonID]statement)}
 	p.members[id] = m
 	i, _ := slices.BinarySearchFunc(p.all, id, func(m *member, id almondstep.DaemonID) int { return cmp.Compare(m.id, id) })
 	p.all = slices.Insert(p.all, i, m)
 	p.changed = true
+	p.urgent = p.urgent || zone == p.cfg.Zone
 	return m
 }
--- a/prober/random.go
+++ b/prober/random.go
@@ -1,5 +1,7 @@
 package prober
 
+import "time"
+
 // generator is splitmix64. The decisions keep their randomness in their state,
 // so that a recorded session plays back the same.
 type generator struct{ state uint64 }
@@ -17,6 +19,11 @@
 	return int(g.next() % uint64(n))
 }
 
+// upTo gives a time from 0 to d.
+func (g *generator) upTo(d time.Duration) time.Duration {
+	return time.Duration(g.next() % uint64(d+1))
+}
+
 func shuffle[T any](g *generator, s []T) {
 	for i := len(s) - 1; i > 0; i-- {
 		j := g.below(i + 1)
--- a/prober/rumor.go
+++ b/prober/rumor.go
@@ -18,8 +18,8 @@
 	// pushFanout is the number of daemons that news is pushed to at once.
 	pushFanout = 4
 	// pushBurst and pushEvery bound the pushes of one daemon.
-	pushBurst = 5
-	pushEvery = 500 * time.Millisecond
+	pushBurst = 2
+	pushEvery = time.Second
 )
 
 // rumorQueue holds the rumors still to be told, the least told first.
@@ -58,6 +58,14 @@
 	q.items = slices.Insert(q.items, 0, &queued{rumor: r})
 }
 
+// dropAccusations forgets the suspicions and deaths still to be told.
+func (q *rumorQueue) dropAccusations() {
+	q.items = slices.DeleteFunc(q.items, func(o *queued) bool {
+		m := o.rumor.Member
+		return o.rumor.Kind == almondstep.RumorMember && (m == almondstep.MemberSuspect || m == almondstep.MemberDead)
+	})
+}
+
 func sameSubject(a, b *almondstep.Rumor) bool {
 	return a.Kind == b.Kind && a.Daemon == b.Daemon && a.Upstream == b.Upstream && a.Fingerprint == b.Fingerprint
 }
--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"almondstep"
 )
@@ -9,6 +10,9 @@
 // inquiriesPerTick bounds the probes by which a deputy asks for a verdict.
 const inquiriesPerTick = 2
 
+// wordLasts is how long a witness's word counts after it was asked for.
+const wordLasts = 2 * time.Second
+
 // settleFor is how long a change of a daemon's witnesses must be known before
 // they are counted: what the former ones vouched for has then ended.
 const settleFor = almondstep.WitnessTTL + GoneMargin
@@ -20,21 +24,23 @@
 	if m.gone >= epoch || now.Sub(m.witnessesAt) < settleFor {
 		return
 	}
-	if p.saying(m, epoch) >= quorum(len(m.witnesses)) {
+	if p.saying(now, m, epoch) >= quorum(len(m.witnesses)) {
 		m.gone = epoch
 		p.changed = true
 	}
 }
 
-// saying counts the witnesses that say Gone of an epoch.
-func (p *Prober) saying(m *member, epoch uint64) int {
+// saying counts the witnesses that say Gone of an epoch. A word counts for
+// wordLasts only, so that none is left by the time a witness that was started
+// again, and has forgotten it, vouches for anyone.
+func (p *Prober) saying(now almondstep.Instant, m *member, epoch uint64) int {
 	n := 0
 	for _, id := range m.witnesses {
 		said := m.goneBy[id]
 		if id == p.cfg.Self {
-			said = m.saidGone
+			said = statement{epoch: m.saidGone, asked: now}
 		}
-		if said >= epoch {
+		if said.epoch >= epoch && now.Sub(said.asked) <= wordLasts {
 			n++
 		}
 	}
@@ -61,7 +67,7 @@
 	if !p.leaseCounts(now, n) || now.Sub(m.witnessesAt) < settleFor {
 		return false
 	}
-	return p.saying(m, epoch)+1 >= quorum(n)
+	return p.saying(now, m, epoch)+1 >= quorum(n)
 }
 
 // Acknowledged says whether a daemon has known this daemon's epoch for so long
@@ -93,6 +99,7 @@
 				continue
 			}
 			m.nextInquiry = now.Add(ProbeEvery)
+			p.tellEpoch(p.members[id])
 			out = p.send(now, m, slices.Contains(p.witnesses, w), out)
 			asked++
 		}
@@ -100,6 +107,16 @@
 	return out
 }
 
+// tellEpoch lets a witness that was started again know which epoch is meant.
+func (p *Prober) tellEpoch(m *member) {
+	if m == nil {
+		return
+	}
+	r := p.rumorOf(m)
+	r.Member = almondstep.MemberAlive
+	p.queue.add(r)
+}
+
 func (p *Prober) shouldAsk(now almondstep.Instant, m *member) bool {
 	return now >= m.nextInquiry && !m.probe.open && m.state == almondstep.MemberAlive
 }
--- a/prober/vouch.go
+++ b/prober/vouch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"almondstep"
 )
@@ -9,9 +10,17 @@
 // forever is the expiry of a vote that doesn't lapse.
 const forever = almondstep.Instant(1<<63 - 1)
 
-// renewals a tick sends to zone mates that haven't acknowledged this epoch.
+// greetingsPerTick bounds the probes that make a new epoch known to the zone.
 const greetingsPerTick = 2
 
+// bootPatience is how long a daemon waits for all its witnesses, if too few of
+// them are voters.
+const bootPatience = 30 * time.Second
+
+// renewJitter is the part of the time between renewals that is left to chance,
+// so that daemons that started together don't all renew at once.
+const renewJitter = 5
+
 func (p *Prober) epoch() uint64 { return epochOf(p.incarnation) }
 
 // renew asks the witnesses to vouch on. While the quorum is missing it asks
@@ -23,6 +32,7 @@
 	every := RenewEvery
 	if _, ok := p.VouchedUntil(now); !ok {
 		every = RetryEvery
+		p.queue.dropAccusations()
 	}
 	for _, id := range p.witnesses {
 		m := p.members[id]
@@ -32,7 +42,7 @@
 		if now < m.nextRenew && m.nextRenew.Sub(now) <= every {
 			continue
 		}
-		m.nextRenew = now.Add(every)
+		m.nextRenew = now.Add(every - p.rng.upTo(every/renewJitter))
 		out = p.send(now, m, true, out)
 	}
 	return out
@@ -76,10 +86,11 @@
 		m.ackEpoch = p.epoch()
 		m.ackAt = now
 	}
-	if fleetRevision(d) >= p.listedAt && p.listed {
+	if fleetRevision(d) >= p.listedAt && p.listed && sent.sentAt >= almondstep.Instant(wordLasts) {
 		m.knowsMe = true
 		p.admit(now)
 	}
+	m.votes = m.votes || d.Vouches
 	if sent.renews && d.Vouches && fleetRevision(d) <= p.fleet {
 		m.vouchEpoch = p.epoch()
 		m.vouchUntil = max(m.vouchUntil, sent.sentAt.Add(almondstep.WitnessTTL))
@@ -88,12 +99,17 @@
 
 // admit makes this daemon a voter once a quorum of its witnesses, itself not
 // counted, holds a list of VMs that names it. Otherwise a newcomer and the
-// daemons that know it could outvote a majority that doesn't.
+// daemons that know it could outvote a majority that doesn't. The quorum must be
+// voters already, or all others must have answered, so that what this daemon said
+// before it was started again is known to one of them; a fleet that starts with
+// some of its daemons missing waits bootPatience instead. Only answers asked for
+// after wordLasts count: by then nobody goes by the word of an earlier start under
+// the same id, and its last requests have ended.
 func (p *Prober) admit(now almondstep.Instant) {
-	if p.admitted || !p.listed {
+	if p.admitted || !p.listed || now < almondstep.Instant(wordLasts) {
 		return
 	}
-	others, know := 0, 0
+	others, know, voters := 0, 0, 0
 	for _, id := range p.witnesses {
 		m := p.members[id]
 		if m == nil {
@@ -103,8 +119,13 @@
 		if m.knowsMe {
 			know++
 		}
+		if m.knowsMe && m.votes {
+			voters++
+		}
 	}
-	if know >= min(quorum(len(p.witnesses)), others) {
+	need := min(quorum(len(p.witnesses)), others)
+	patient := now >= almondstep.Instant(bootPatience)
+	if know == others || voters >= need || patient && know >= need {
 		p.admitted = true
 		p.admittedAt = now
 	}
@@ -151,6 +172,9 @@
 // the present one that it can't have a quorum again.
 func (p *Prober) reconsiderSelf(now almondstep.Instant) {
 	p.admit(now)
+	if len(p.witnesses) == 0 {
+		return
+	}
 	refused := 0
 	for _, id := range p.witnesses {
 		if m := p.members[id]; m != nil && m.refused >= p.epoch() {
@@ -160,10 +184,5 @@
 	if refused <= len(p.witnesses)-quorum(len(p.witnesses)) {
 		return
 	}
-	p.incarnation = newEpoch(p.epoch() + 1)
-	p.changed = true
-	p.Spread(p.selfRumor(), true)
-	for _, m := range p.all {
-		m.nextRenew = 0
-	}
+	p.newEpoch()
 }
--- a/prober/witness.go
+++ b/prober/witness.go
@@ -48,7 +48,7 @@
 	if m.saidGone >= epoch {
 		return false
 	}
-	if m.renewedEpoch < epoch && p.anyoneSaidGone(m, epoch) {
+	if m.renewedEpoch < epoch && m.warned >= epoch {
 		return false
 	}
 	m.renewedAt = now
@@ -59,15 +59,6 @@
 	return true
 }
 
-func (p *Prober) anyoneSaidGone(m *member, epoch uint64) bool {
-	for _, id := range p.mates.IDs() {
-		if m.goneBy[id] >= epoch {
-			return true
-		}
-	}
-	return false
-}
-
 // lapseCharges says Gone of the daemons that have not renewed in time. It is
 // never taken back for their present epoch.
 func (p *Prober) lapseCharges(now almondstep.Instant) {
@@ -89,10 +80,11 @@
 }
 
 // hearGone notes which daemons the sender says are gone. A sender with a newer
-// list of VMs may count other witnesses, so its word waits until this daemon
-// has that list too.
-func (p *Prober) hearGone(now almondstep.Instant, from *member, d *almondstep.Digest) {
-	if from.zone != p.cfg.Zone || fleetRevision(d) > p.fleet {
+// list of VMs may count other witnesses, so its word is no vote until this daemon
+// has that list too; but it is a warning at once, in case this daemon said the
+// same before it was started again.
+func (p *Prober) hearGone(now, sent almondstep.Instant, from *member, d *almondstep.Digest) {
+	if from.zone != p.cfg.Zone {
 		return
 	}
 	for _, g := range d.Gone {
@@ -103,8 +95,11 @@
 		}
 		if m := p.members[g.Daemon]; m != nil {
 			m.learn(now, g.Incarnation)
-			m.goneBy[from.id] = max(m.goneBy[from.id], epoch)
-			p.judge(now, m)
+			m.warned = max(m.warned, epoch)
+			if fleetRevision(d) <= p.fleet && sent != notAsked {
+				m.goneBy[from.id] = statement{epoch: epoch, asked: sent}
+				p.judge(now, m)
+			}
 		}
 	}
 }
