--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -38,16 +39,27 @@
 	return n, err
 }
 
-// Close gives the permit back.
+// closeWait bounds the wait for the upstream to close its side.
+const closeWait = 100 * time.Millisecond
+
+// Close closes the connection and gives its permit back once the upstream has
+// closed its side too. Were it given back at once, a new connection could
+// reach the upstream before the end of the old one, and be one too many.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
 	c.once.Do(func() {
-		c.pool.mu.Lock()
-		delete(c.pool.open, c)
-		c.pool.mu.Unlock()
-		<-c.pool.permits
+		_ = c.SetDeadline(time.Now().Add(closeWait))
+		if half, ok := c.Conn.(*net.TCPConn); ok {
+			_ = half.CloseWrite()
+		}
+		go c.drain()
 	})
-	return err
+	return nil
+}
+
+func (c *conn) drain() {
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.Conn.Close()
+	<-c.pool.permits
 }
 
 // dialLimit allows a burst of dials and then one every so often.
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -36,7 +36,6 @@
 	mu       sync.Mutex
 	lastUsed time.Time
 	inFlight int
-	open     map[*conn]struct{}
 	spare    *conn
 	suspects []*attempt
 	closed   bool
@@ -51,7 +50,6 @@
 		connections: connections,
 		permits:     make(chan struct{}, connections),
 		dials:       &dialLimit{every: c.DialEvery, burst: dialBurst},
-		open:        map[*conn]struct{}{},
 	}
 	p.shared = &http.Transport{
 		DialContext:         p.dialShared,
@@ -151,9 +149,6 @@
 	}
 	c := &conn{Conn: raw, pool: p, opened: time.Now()}
 	c.heard.Store(c.opened.UnixNano())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open[c] = struct{}{}
 	return c, nil
 }
 
--- /dev/null
+++ b/dialer/silence_test.go
@@ -0,0 +1,150 @@
+package dialer_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/dialer"
+	"almondstep/standin/upstream"
+)
+
+// fill opens n connections and leaves them idle. It holds each request until
+// all have come, through the upstream's latency.
+func fill(t *testing.T, c *dialer.Client, addr almondstep.Address, n int) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() { wantResult(t, c.Do(context.Background(), search(addr)), almondstep.CallDone) })
+	}
+	wg.Wait()
+}
+
+// All open connections go silent. The overdue searches are given up long
+// before their deadline, and those that follow go over fresh connections.
+func TestSilentConnections(t *testing.T) {
+	s := start(t, &upstream.Server{Slots: 8, Latency: upstream.Latency{Base: 5 * time.Millisecond}})
+	c := client(t)
+	fill(t, c, addrOf(s), 4)
+	s.SilenceOpen()
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			a := search(addrOf(s))
+			a.Timeout = time.Hour
+			// One that finds no idle connection left is answered on a fresh one.
+			if got := c.Do(context.Background(), a).Result; got != almondstep.CallTimeout && got != almondstep.CallDone {
+				t.Errorf("got result %d, want a timeout or an answer", got)
+			}
+		})
+	}
+	wg.Wait()
+	fill(t, c, addrOf(s), 4)
+	if got, want := s.Counters().PeakConnections, search(addrOf(s)).Connections; got > want {
+		t.Errorf("got %d connections at once, want at most %d", got, want)
+	}
+}
+
+// A peer that stops reading and answering without closing, on a connection
+// that worked before, is found out through a fresh connection.
+func TestPeerStopsReading(t *testing.T) {
+	u := startRaw(t, func(conn, request int, c net.Conn) bool {
+		if conn == 1 && request == 2 {
+			return false
+		}
+		reply(c, emptyAnswer)
+		return true
+	})
+	c := client(t)
+	a := search(u.addr)
+	a.Timeout = time.Hour
+	wantResult(t, c.Do(context.Background(), a), almondstep.CallDone)
+	wantResult(t, c.Do(context.Background(), a), almondstep.CallTimeout)
+	wantResult(t, c.Do(context.Background(), a), almondstep.CallDone)
+	// The proven connection is the warm spare that the third search used.
+	if got, want := u.connections(), 2; got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+	if got, want := u.calls(), 3; got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+}
+
+// An upstream that is slow on all its connections isn't taken for silent ones:
+// the proof isn't answered either.
+func TestSlowIsNotSilent(t *testing.T) {
+	const answered = 1
+	total := 0
+	var mu sync.Mutex
+	release := make(chan struct{})
+	u := startRaw(t, func(_, _ int, c net.Conn) bool {
+		mu.Lock()
+		total++
+		n := total
+		mu.Unlock()
+		if n > answered {
+			<-release
+		}
+		reply(c, emptyAnswer)
+		return true
+	})
+	c := client(t)
+	c.DialTimeout = 50 * time.Millisecond
+	a := search(u.addr)
+	wantResult(t, c.Do(context.Background(), a), almondstep.CallDone)
+	go func() {
+		for u.connections() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		close(release)
+	}()
+	wantResult(t, c.Do(context.Background(), a), almondstep.CallDone)
+}
+
+// An operation never goes out on a connection that may have gone silent, and
+// is never given up for being overdue.
+func TestOperationOnFreshConnection(t *testing.T) {
+	s := start(t, &upstream.Server{Slots: 8, Latency: upstream.Latency{Base: 5 * time.Millisecond}})
+	c := client(t)
+	fill(t, c, addrOf(s), 4)
+	s.SilenceOpen()
+	wantResult(t, c.Do(context.Background(), order(addrOf(s), "a")), almondstep.CallDone)
+	if got, want := s.Ledger.Runs()["enter a"], 1; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
+
+// A slow operation is waited for until its deadline.
+func TestSlowOperation(t *testing.T) {
+	s := start(t, &upstream.Server{Latency: upstream.Latency{Base: 300 * time.Millisecond}})
+	c := client(t)
+	wantResult(t, c.Do(context.Background(), order(addrOf(s), "slow")), almondstep.CallDone)
+}
+
+// The connections never exceed what the upstream accepts, when all of them are
+// idle and an operation needs a fresh one.
+func TestConnectionLimit(t *testing.T) {
+	const connections = 2
+	s := start(t, &upstream.Server{Slots: 8, Connections: connections, Latency: upstream.Latency{Base: 5 * time.Millisecond}})
+	c := client(t)
+	do := func(a *almondstep.StartAttempt) {
+		a.Connections = connections
+		wantResult(t, c.Do(context.Background(), a), almondstep.CallDone)
+	}
+	for range 3 {
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Go(func() { do(search(addrOf(s))) })
+		}
+		wg.Wait()
+		do(order(addrOf(s), "fresh"))
+	}
+	n := s.Counters()
+	if got, want := n.PeakConnections, connections; got > want || n.ConnectionsRefused > 0 {
+		t.Errorf("got %d connections at once and %d refused, want at most %d and 0", got, n.ConnectionsRefused, want)
+	}
+}
