Resolve names by package resolver; a refusal names both meanings

Cause: the querier had its own look-up of names until resolver was there, and its refusal of an ambiguous name did not say what the name means.

Change: resolver.Resolve, whose error is the refusal's message.

--- a/querier/arrived.go
+++ b/querier/arrived.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"almondstep"
 	"almondstep/admitter"
 	"almondstep/planner"
+	"almondstep/resolver"
 )
 
 // maxLimit bounds the merged records of one answer.
@@ -62,6 +65,13 @@
 	deadline time.Duration
 }
 
+// refusal says why a request is not taken in; without a message, the one of
+// the code stands.
+type refusal struct {
+	code    almondstep.RefusalCode
+	message string
+}
+
 // admit checks a request against the catalog and takes it in; nil if it was
 // refused. Nothing has begun then.
 func (q *Queries) admit(id almondstep.QueryID, a *ask, c caller) *query {
@@ -69,8 +79,8 @@
 		q.counters.Repeated++
 		return nil
 	}
-	if code := q.check(a, c); code != "" {
-		q.refuse(id, code)
+	if r := q.check(a, c); r.code != "" {
+		q.refuse(id, r)
 		return nil
 	}
 	remaining := a.class.HardDeadline()
@@ -84,7 +94,7 @@
 		Typical:   q.digestOf(a.service.Name()).Typical(),
 	})
 	if !ok {
-		q.refuse(id, code)
+		q.refuse(id, refusal{code: code})
 		return nil
 	}
 	q.counters.Admitted++
@@ -97,62 +107,48 @@
 }
 
 // check fills in what the catalog says, or says why the request is refused.
-func (q *Queries) check(a *ask, c caller) almondstep.RefusalCode {
+func (q *Queries) check(a *ask, c caller) refusal {
 	catalog := q.view.Catalog()
 	if catalog == nil {
-		return almondstep.CodeNoConfiguration
+		return refusal{code: almondstep.CodeNoConfiguration}
 	}
-	name, code := resolve(catalog, c.scheme, c.name)
-	if code != "" {
-		return code
+	service, r := resolve(catalog, c.scheme, c.name)
+	if r.code != "" {
+		return r
 	}
+	a.service = service
 	var ok bool
-	if a.service, ok = catalog.Service(name); !ok {
-		return almondstep.CodeUnknownName
-	}
 	if a.tenant, ok = catalog.Tenant(c.tenant); !ok {
-		return almondstep.CodeUnknownTenant
+		return refusal{code: almondstep.CodeUnknownTenant}
 	}
 	if a.class, ok = catalog.Class(c.class); !ok {
-		return almondstep.CodeUnknownClass
+		return refusal{code: almondstep.CodeUnknownClass}
 	}
 	if a.operation != "" {
 		operation, ok := a.service.Operation(a.operation)
 		if !ok {
-			return almondstep.CodeUnknownOp
+			return refusal{code: almondstep.CodeUnknownOp}
 		}
 		a.once = !operation.Idempotent
 	}
 	if q.view.Quarantined(a.fingerprint) || q.reputations.quarantined(a.fingerprint, q.now) {
-		return almondstep.CodeQuarantined
+		return refusal{code: almondstep.CodeQuarantined}
 	}
-	return ""
+	return refusal{}
 }
 
 // resolve finds the service a caller means. Without a scheme, a name that
-// means different services in two schemes is refused.
-func resolve(c *almondstep.Catalog, scheme almondstep.SchemeName, name string) (almondstep.ServiceName, almondstep.RefusalCode) {
-	if scheme != "" {
-		if s, ok := c.Lookup(scheme, name); ok {
-			return s, ""
-		}
-		return "", almondstep.CodeUnknownName
-	}
-	var found almondstep.ServiceName
-	for _, each := range c.Schemes() {
-		s, ok := c.Lookup(each, name)
-		if !ok {
-			continue
-		}
-		if found != "" && found != s {
-			return "", almondstep.CodeAmbiguousName
-		}
-		found = s
+// means different services in two schemes is refused, and both are named.
+func resolve(c *almondstep.Catalog, scheme almondstep.SchemeName, name string) (almondstep.Service, refusal) {
+	canonical, err := resolver.Resolve(c, scheme, name)
+	if errors.Is(err, almondstep.ErrAmbiguousName) {
+		return almondstep.Service{}, refusal{code: almondstep.CodeAmbiguousName, message: err.Error()}
 	}
-	if found == "" {
-		return "", almondstep.CodeUnknownName
+	if err != nil {
+		return almondstep.Service{}, refusal{code: almondstep.CodeUnknownName, message: err.Error()}
 	}
-	return found, ""
+	s, _ := c.Service(canonical)
+	return s, refusal{}
 }
 
 // setPlan begins a query's shards anew.
--- a/querier/finish.go
+++ b/querier/finish.go
@@ -96,13 +96,17 @@
 }
 
 // refuse answers a request that was never taken in.
-func (q *Queries) refuse(id almondstep.QueryID, code almondstep.RefusalCode) {
+func (q *Queries) refuse(id almondstep.QueryID, r refusal) {
 	q.counters.Refused++
+	if r.message == "" {
+		r.message = messages[r.code]
+	}
 	q.emit(&almondstep.ReplyCaller{ID: id, Answer: &almondstep.Answer{
 		Query:   id,
 		Outcome: almondstep.OutcomeNotRun,
-		Code:    code,
-		Message: messages[code],
+		Code:    r.code,
+		Message: r.message,
+		Records: []almondstep.Record{},
 	}})
 }
 
@@ -165,8 +169,6 @@
 // messages say for people what the codes say for programs.
 var messages = map[almondstep.RefusalCode]string{
 	almondstep.CodeNoConfiguration: "this daemon has no configuration yet; nothing was run",
-	almondstep.CodeUnknownName:     "no service has this name; see almondstep resolve",
-	almondstep.CodeAmbiguousName:   "the name means different services in two schemes; give the scheme",
 	almondstep.CodeUnknownTenant:   "the operators' text has no such tenant",
 	almondstep.CodeUnknownClass:    "the operators' text has no such class",
 	almondstep.CodeUnknownOp:       "the service has no such operation",
--- a/querier/outcomes_test.go
+++ b/querier/outcomes_test.go
@@ -75,6 +75,7 @@
 		"run: none":                             func(d *driver) { d.runAll("", done) },
 		"search: no configuration yet":          noConfiguration,
 		"search: unknown name":                  func(d *driver) { d.at(0, d.searchWith(func(e *almondstep.SearchArrived) { e.Name = "?" })) },
+		"search: ambiguous name":                ambiguousName,
 		"search: unknown tenant":                func(d *driver) { d.at(0, d.searchWith(func(e *almondstep.SearchArrived) { e.Tenant = "?" })) },
 		"search: unknown class":                 func(d *driver) { d.at(0, d.searchWith(func(e *almondstep.SearchArrived) { e.Class = "?" })) },
 		"run: unknown operation":                unknownOperation,
@@ -124,6 +125,16 @@
 	}
 }
 
+func ambiguousName(d *driver) {
+	f := deskFleet(4, 2, 1)
+	f.Text.Schemes = append(f.Text.Schemes, "field")
+	f.Text.Services = append(f.Text.Services, almondstep.ServiceText{
+		Name: "counter", Names: map[almondstep.SchemeName]string{"field": "desk"}, DialTime: "1ms",
+	})
+	d.v = f.view()
+	d.at(0, d.searchWith(func(e *almondstep.SearchArrived) { e.Scheme = "" }))
+}
+
 func noConfiguration(d *driver) {
 	d.v = almondstep.NewView(almondstep.ViewParts{Self: self, Unready: "no configuration"})
 	d.at(0, search(1, "routine"))
