limiter: a timer never asks for another at the same instant

Cause: while a lost upstream is paused between proofs of life, requests given up that had run out were still in the list that sets the next timer, so the timer came due at once, again and again: a thread spun for ever.

Change: what has run out is dropped before the next timer is chosen.

Before: go test ./limiter -run Timers fails, "at 700ms got a timer after 0s". After: passes. Conclusion: the spin could have cost a daemon a whole core.

--- a/limiter/failure_test.go
+++ b/limiter/failure_test.go
@@ -268,3 +268,29 @@
 	// 0 startAttempt
 	// 1 setUpstreamTimer
 }
+
+// A timer never asks for another one at the same instant: that would go on for
+// ever. Here proofs of life are given up and run out while there is a pause.
+func TestTimersGoForward(t *testing.T) {
+	r := newRig(t, limiter.Config{Seed: 1})
+	for range 3 {
+		r.end(started(r.search(time.Second))[0].Call, almondstep.CallRefused, "", 0)
+	}
+	proofs := 0
+	for range 100 {
+		r.wait(50 * time.Millisecond)
+		out := r.reduce(&almondstep.UpstreamTimer{Addr: addr})
+		for _, s := range started(out) {
+			proofs++
+			out = append(out, r.end(s.Call, almondstep.CallBroken, "", 0)...)
+		}
+		for _, f := range pick[*almondstep.SetUpstreamTimer](out) {
+			if f.After <= 0 {
+				t.Fatalf("at %v got a timer after %v", time.Duration(r.now), f.After)
+			}
+		}
+	}
+	if proofs < 3 || proofs > 10 {
+		t.Errorf("got %d proofs of life in 5s, want 3 to 10", proofs)
+	}
+}
--- a/limiter/starts.go
+++ b/limiter/starts.go
@@ -161,6 +161,7 @@
 // wakeAt is when the upstream must be looked at without another event; 0 if
 // never.
 func (up *upstream) wakeAt(now almondstep.Instant) almondstep.Instant {
+	up.forgetGhosts(now)
 	at := up.queue.earliest()
 	lost := up.warmth.temperature == almondstep.Lost
 	if !up.owned || lost || up.queue.count > 0 {
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -238,15 +238,20 @@
 // busy is how many requests may be running at the upstream. A cold one is
 // charged for what was given up too, since it may not have stopped.
 func (up *upstream) busy(now almondstep.Instant) int {
-	up.ghosts = slices.DeleteFunc(up.ghosts, func(end almondstep.Instant) bool {
-		return end <= now
-	})
+	up.forgetGhosts(now)
 	if up.surelyWarm(now) {
 		return len(up.calls)
 	}
 	return len(up.calls) + len(up.ghosts)
 }
 
+// forgetGhosts drops what has run out.
+func (up *upstream) forgetGhosts(now almondstep.Instant) {
+	up.ghosts = slices.DeleteFunc(up.ghosts, func(end almondstep.Instant) bool {
+		return end <= now
+	})
+}
+
 // mayStart says whether one more request may be sent.
 func (up *upstream) mayStart(now almondstep.Instant) bool {
 	capacity := up.warmth.capacity()
