applier: the property also sees an overwritten edit of the same entry

Cause: on a scratch copy, carrying an edit over although both sides had changed the same entry was not noticed by the random histories, only by patcher's test. Change: each history remembers what an edit meant to replace, and compares it.

--- a/applier/property_test.go
+++ b/applier/property_test.go
@@ -63,11 +63,17 @@
 	stale uint64
 	// outcomes has how each edit ended, by write id.
 	outcomes map[string]error
+	// intended has the entry that each edit meant to change, and replaced what it
+	// meant to put another value in the place of.
 	intended map[string]string
+	replaced map[string]string
 }
 
 func newHistory(t *testing.T, seed int) *history {
-	h := &history{t: t, random: splitmix(seed), outcomes: make(map[string]error), intended: make(map[string]string)}
+	h := &history{
+		t: t, random: splitmix(seed), outcomes: make(map[string]error),
+		intended: make(map[string]string), replaced: make(map[string]string),
+	}
 	h.fake = &fake{random: &h.random, lossy: 30, before: h.others}
 	for i := range h.daemons {
 		h.daemons[i] = distributor.New(distributor.Config{Seed: uint64(i)})
@@ -98,6 +104,7 @@
 		base, values = seen.Revision, valuesOf(seen.Text)
 	}
 	entry := h.random.below(zones)
+	h.replaced[id] = fmt.Sprintf(`{"name":"z%d","edit":%d}`, entry, values[entry])
 	values[entry] = h.next
 	h.intended[id] = fmt.Sprintf("zones/z%d", entry)
 	a := &applier.Applier{
@@ -203,6 +210,9 @@
 		if before.Revision > 0 && c.Address() != h.intended[id] {
 			h.t.Errorf("%s changed %s, want only %s", id, c.Address(), h.intended[id])
 		}
+		if before.Revision > 0 && c.Before() != h.replaced[id] {
+			h.t.Errorf("%s replaced %s, want %s", id, c.Before(), h.replaced[id])
+		}
 	}
 	if got, want := after.PrevHash, before.Hash; got != want {
 		h.t.Errorf("%s: got previous hash %q, want %q", id, got, want)
