--- a/applier/applier.go
+++ b/applier/applier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -165,15 +166,30 @@
 	return a.Apply(ctx, Edit{Text: text, Base: e.Revision, Reason: reason})
 }
 
-// entriesChanged lists the addresses of the entries that differ.
+const (
+	// maxEntries is the number of changed entries that the history names.
+	maxEntries = 50
+	// maxAddressBytes bounds each of their addresses.
+	maxAddressBytes = 160
+)
+
+// entriesChanged lists the addresses of the entries that differ, so many and so
+// long as the history can bear.
 func entriesChanged(before, after []byte) ([]string, error) {
 	changes, err := patcher.Diff(before, after)
 	if err != nil {
 		return nil, err
 	}
-	addresses := make([]string, 0, len(changes))
-	for _, c := range changes {
-		addresses = append(addresses, c.Address())
+	addresses := make([]string, 0, min(len(changes), maxEntries+1))
+	for _, c := range changes[:min(len(changes), maxEntries)] {
+		address := c.Address()
+		if len(address) > maxAddressBytes {
+			address = strings.ToValidUTF8(address[:maxAddressBytes], "") + "..."
+		}
+		addresses = append(addresses, address)
+	}
+	if more := len(changes) - maxEntries; more > 0 {
+		addresses = append(addresses, fmt.Sprintf("and %d more", more))
 	}
 	return addresses, nil
 }
--- a/commander/verb_apply.go
+++ b/commander/verb_apply.go
@@ -14,6 +14,9 @@
 
 const applyName = "apply"
 
+// maxReasonBytes bounds what an edit adds to the history.
+const maxReasonBytes = 200
+
 // applyVerb puts a text in force.
 type applyVerb struct {
 	File    string              `arg:"positional,required" help:"the whole new text; - reads standard input"`
@@ -26,7 +29,7 @@
 
 // editFlags are what all verbs that change the text in force have.
 type editFlags struct {
-	Reason string        `arg:"--reason" placeholder:"TEXT" help:"why, for the history; required"`
+	Reason string        `arg:"--reason" placeholder:"TEXT" help:"why, for the history; required, at most 200 bytes"`
 	Who    string        `arg:"--who" placeholder:"NAME" help:"who, for the history; without it, the user who runs the command"`
 	Wait   bool          `arg:"--wait" help:"wait until every daemon that can be reached has it in force"`
 	Within time.Duration `arg:"--within" default:"30s" help:"how long to wait"`
@@ -73,6 +76,9 @@
 	if f.Reason == "" {
 		return badUsage("--reason is required")
 	}
+	if len(f.Reason) > maxReasonBytes || len(f.Who) > maxReasonBytes {
+		return badUsage("--reason and --who have at most %d bytes", maxReasonBytes)
+	}
 	c := f.client()
 	defer c.Close()
 	who := f.Who
