Dialer: a timeout on a used connection is proven too; siblings heard since are kept

Cause: a search whose deadline comes before it is overdue never started a proof, so each idle connection that had gone silent cost one search; and the proof closed all idle connections, also those that were heard meanwhile. Change: such a timeout starts a proof; only idle connections last heard before the request went out are closed. A closed connection wakes its reader at once, and a request that met one with nothing written is sent for the first time on another. Before a request is called not sent, its connection is closed, so that it can't be written later. Conclusion: one search pays for the silence of all connections to an upstream.

--- a/dialer/attempt.go
+++ b/dialer/attempt.go
@@ -24,6 +24,9 @@
 
 const callPath = "/v1/call"
 
+// sendTries bounds the connections a request may meet that were just closed.
+const sendTries = 3
+
 // freshFor is how long an unused connection counts as fresh.
 const freshFor = time.Second
 
@@ -56,8 +59,12 @@
 		defer watch.Stop()
 	}
 	resp, err := t.send(ctx)
+	for try := 1; err != nil && try < sendTries && t.unsent(ctx); try++ {
+		resp, err = t.send(ctx)
+	}
 	if err != nil {
 		ended.Result = t.failure(parent, ctx)
+		p.suspectTimeout(t)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -70,9 +77,19 @@
 	}
 }
 
+// unsent says that the request met a connection that this side had just closed,
+// with none of it written, so that sending it now sends it for the first time.
+func (t *attempt) unsent(ctx context.Context) bool {
+	c := t.conn.Load()
+	return ctx.Err() == nil && c != nil && c.closed.Load() && !t.written()
+}
+
 func (t *attempt) send(ctx context.Context) (*http.Response, error) {
 	body := encodeCall(t.start)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:     t.gotConn,
+		PutIdleConn: t.putIdleConn,
+	})
 	url := "http://" + string(t.start.Addr) + callPath
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, oneWay{bytes.NewReader(body)})
 	if err != nil {
@@ -94,13 +111,27 @@
 	}
 	t.writtenBefore = c.written.Load()
 	t.reused = info.Reused || time.Since(c.opened) > freshFor
+	c.busy.Store(true)
 	t.conn.Store(c)
 }
 
-// written says that the upstream may have read some of the request.
+func (t *attempt) putIdleConn(error) {
+	if c := t.conn.Load(); c != nil {
+		c.busy.Store(false)
+	}
+}
+
+// written says that the upstream may have read some of a request that has
+// failed. The connection is closed first, so that nothing is written later.
 func (t *attempt) written() bool {
 	c := t.conn.Load()
-	return c != nil && c.written.Load() > t.writtenBefore
+	if c == nil {
+		return false
+	}
+	if c.written.Load() == t.writtenBefore {
+		_ = c.Close()
+	}
+	return c.written.Load() > t.writtenBefore
 }
 
 // failure says how a request without a whole answer ended. What was not
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -17,11 +17,20 @@
 	opened  time.Time
 	heard   atomic.Int64
 	written atomic.Int64
+	// busy says that a request is on the connection.
+	busy    atomic.Bool
+	reading sync.Mutex
+	closed  atomic.Bool
 	once    sync.Once
 }
 
 // Read notes that the upstream was heard.
 func (c *conn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.heard.Store(time.Now().UnixNano())
@@ -33,6 +42,9 @@
 // before the write, so that a request given up meanwhile isn't taken for one
 // that was never sent.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	c.written.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n - len(b)))
@@ -47,16 +59,24 @@
 // reach the upstream before the end of the old one, and be one too many.
 func (c *conn) Close() error {
 	c.once.Do(func() {
-		_ = c.SetDeadline(time.Now().Add(closeWait))
+		c.closed.Store(true)
+		c.pool.mu.Lock()
+		delete(c.pool.open, c)
+		c.pool.mu.Unlock()
 		if half, ok := c.Conn.(*net.TCPConn); ok {
 			_ = half.CloseWrite()
 		}
+		// It wakes whoever reads.
+		_ = c.SetDeadline(time.Now())
 		go c.drain()
 	})
 	return nil
 }
 
 func (c *conn) drain() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	_ = c.SetReadDeadline(time.Now().Add(closeWait))
 	_, _ = io.Copy(io.Discard, c.Conn)
 	_ = c.Conn.Close()
 	<-c.pool.permits
--- a/dialer/export_test.go
+++ b/dialer/export_test.go
@@ -1,6 +1,27 @@
 package dialer
 
-import "time"
+import (
+	"time"
+
+	"almondstep"
+)
+
+// Idle is the number of an upstream's open connections that carry no request,
+// without the spare.
+func (c *Client) Idle(addr almondstep.Address) int {
+	c.mu.Lock()
+	p := c.pools[addr]
+	c.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for open := range p.open {
+		if !open.busy.Load() && open != p.spare {
+			n++
+		}
+	}
+	return n
+}
 
 // DecodeAnswer is decodeAnswer, for the fuzz target.
 func DecodeAnswer(body []byte, limit int) (total, records int, err error) {
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex
 	lastUsed time.Time
 	inFlight int
+	open     map[*conn]struct{}
 	spare    *conn
 	suspects []*attempt
 	closed   bool
@@ -49,6 +50,7 @@
 		addr:        addr,
 		connections: connections,
 		permits:     make(chan struct{}, connections),
+		open:        map[*conn]struct{}{},
 		dials:       &dialLimit{every: c.DialEvery, burst: dialBurst},
 	}
 	p.shared = &http.Transport{
@@ -149,6 +151,9 @@
 	}
 	c := &conn{Conn: raw, pool: p, opened: time.Now()}
 	c.heard.Store(c.opened.UnixNano())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[c] = struct{}{}
 	return c, nil
 }
 
--- a/dialer/silence.go
+++ b/dialer/silence.go
@@ -124,17 +124,45 @@
 	return c.SetDeadline(time.Time{})
 }
 
+// suspectTimeout starts a proof after a request that timed out before it was
+// overdue, since its connection may have gone silent.
+func (p *pool) suspectTimeout(t *attempt) {
+	if t.ended.Result != almondstep.CallTimeout || !t.start.Idempotent || t.silent.Load() {
+		return
+	}
+	if c := t.conn.Load(); c.heard.Load() < t.began.UnixNano() {
+		go p.prove(t)
+	}
+}
+
 // giveUp ends an overdue request, if its connection was not heard since the
-// proof began, and closes the idle connections: whatever has lost track of the
-// one has likely lost track of them.
+// proof began, and closes the idle connections that were not heard since the
+// request went out: whatever has lost track of the one has likely lost track
+// of them.
 func (t *attempt) giveUp(proofBegan time.Time) {
 	c := t.conn.Load()
 	if c.heard.Load() >= proofBegan.UnixNano() {
 		return
 	}
 	p := t.pool
-	p.client.Logger.Info("connection silent", "upstream", p.addr, "age", time.Since(c.opened))
-	p.shared.CloseIdleConnections()
+	closed := p.dropStale(t.began)
+	p.client.Logger.Info("connection silent", "upstream", p.addr, "age", time.Since(c.opened), "siblingsClosed", closed)
 	t.silent.Store(true)
 	t.cancel()
 }
+
+// dropStale closes the idle connections last heard before a time.
+func (p *pool) dropStale(before time.Time) int {
+	p.mu.Lock()
+	var stale []*conn
+	for c := range p.open {
+		if !c.busy.Load() && c != p.spare && c.heard.Load() < before.UnixNano() {
+			stale = append(stale, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range stale {
+		_ = c.Close()
+	}
+	return len(stale)
+}
--- a/dialer/silence_test.go
+++ b/dialer/silence_test.go
@@ -148,3 +148,67 @@
 		t.Errorf("got %d connections at once and %d refused, want at most %d and 0", got, n.ConnectionsRefused, want)
 	}
 }
+
+// Searches whose deadline comes before they are overdue find the silence too:
+// one timeout leads to a proof, and the idle connections not heard from since
+// are closed. Without it each of them would cost a search.
+func TestSilenceFoundByTimeout(t *testing.T) {
+	s := start(t, &upstream.Server{Slots: 8, Latency: upstream.Latency{Base: 10 * time.Millisecond}})
+	c := client(t)
+	const open = 6
+	fill(t, c, addrOf(s), open)
+	opened := s.Counters().Connections
+	if opened < 3 {
+		t.Fatalf("got %d connections, want at least 3 to silence", opened)
+	}
+	s.SilenceOpen()
+	a := search(addrOf(s))
+	a.Timeout = 40 * time.Millisecond
+	wantResult(t, c.Do(context.Background(), a), almondstep.CallTimeout)
+	for c.Idle(addrOf(s)) != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range open {
+		wantResult(t, c.Do(context.Background(), search(addrOf(s))), almondstep.CallDone)
+	}
+}
+
+// A straggler doesn't cost the connections that were heard since it went out.
+func TestStragglerKeepsSiblings(t *testing.T) {
+	var mu sync.Mutex
+	slow := false
+	u := startRaw(t, func(conn, _ int, c net.Conn) bool {
+		mu.Lock()
+		hold := slow && conn == 1
+		slow = false
+		mu.Unlock()
+		if hold {
+			return false
+		}
+		reply(c, emptyAnswer)
+		return true
+	})
+	c := client(t)
+	wantResult(t, c.Do(context.Background(), search(u.addr)), almondstep.CallDone)
+	mu.Lock()
+	slow = true
+	mu.Unlock()
+	given := make(chan almondstep.CallResult)
+	go func() { given <- c.Do(context.Background(), search(u.addr)).Result }()
+	for u.calls() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	// This one goes over a second connection, which is heard meanwhile.
+	wantResult(t, c.Do(context.Background(), search(u.addr)), almondstep.CallDone)
+	if got, want := <-given, almondstep.CallTimeout; got != want {
+		t.Errorf("got result %d, want %d", got, want)
+	}
+	wantResult(t, c.Do(context.Background(), search(u.addr)), almondstep.CallDone)
+	// The first, the second and the proof's.
+	if got, want := u.connections(), 3; got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+	if got, want := c.Idle(u.addr), 1; got != want {
+		t.Errorf("got %d idle connections besides the spare, want %d", got, want)
+	}
+}
