--- a/standin/upstream/handle.go
+++ b/standin/upstream/handle.go
@@ -80,7 +80,7 @@
 		s.Ledger.run(q.Operation, q.Text)
 	}
 	if !s.work(ctx, t) {
-		s.stopped(w, r)
+		s.stopped(w, r, t)
 		return
 	}
 	if s.CrashText != "" && q.Text == s.CrashText {
@@ -127,8 +127,12 @@
 	}
 }
 
-// stopped ends a request that the client gave up or that passed its deadline.
-func (s *Server) stopped(w http.ResponseWriter, r *http.Request) {
+// stopped ends a request that was cut off by a crash, that the client gave up
+// or that passed its deadline.
+func (s *Server) stopped(w http.ResponseWriter, r *http.Request, t *ticket) {
+	if isClosed(t.crashed) {
+		panic(http.ErrAbortHandler)
+	}
 	if r.Context().Err() != nil {
 		s.count(func(c *Counters) { c.Canceled++ })
 		panic(http.ErrAbortHandler)
