Generator and experimenter: scenarios beside naive policies

Cause: policies need a measurement on the real path, with baselines in the same run, before they are tuned.

--- a/embedder/set.go
+++ b/embedder/set.go
@@ -51,8 +51,10 @@
 	Cold bool
 	Seed uint64
 	// Tune, if set, changes each daemon's settings before it starts.
-	Tune   func(s *loader.Settings)
-	Logger hclog.Logger
+	Tune func(s *loader.Settings)
+	// TuneDaemon, if set, changes each daemon before it starts.
+	TuneDaemon func(d *starter.Daemon)
+	Logger     hclog.Logger
 
 	// Platform, Storer and Ledger are there after Start.
 	Platform *platform.Server
@@ -72,9 +74,19 @@
 // Upstream is one stand-in upstream and its place in the set.
 type Upstream struct {
 	*upstream.Server
-	vm almondstep.UpstreamVM
+	vm      almondstep.UpstreamVM
+	shard   uint32
+	of      uint32
+	replica int
+	gone    bool
 }
 
+// Replica numbers the replicas of a shard, from 0.
+func (u *Upstream) Replica() int { return u.replica }
+
+// Shard is the index of the shard the upstream serves at the start.
+func (u *Upstream) Shard() uint32 { return u.shard }
+
 // VM is what the platform's list says of the upstream.
 func (u *Upstream) VM() almondstep.UpstreamVM { return u.vm }
 
@@ -164,7 +176,10 @@
 		return err
 	}
 	s.upstreams = append(s.upstreams, &Upstream{
-		Server: server,
+		Server:  server,
+		shard:   p.shard,
+		of:      holdings[0].Of,
+		replica: p.replica,
 		vm: almondstep.UpstreamVM{
 			Addr:     almondstep.Address(server.Address),
 			Service:  shape.Service,
@@ -185,6 +200,9 @@
 	id := almondstep.DaemonID(fmt.Sprintf("%s-%d", zone, s.started))
 	s.mu.Unlock()
 	d := &starter.Daemon{Settings: s.settings(zone, id), Logger: s.Logger.Named(string(id))}
+	if s.TuneDaemon != nil {
+		s.TuneDaemon(d)
+	}
 	if err := d.Init(); err != nil {
 		return nil, err
 	}
@@ -268,6 +286,9 @@
 		})
 	}
 	for _, u := range s.upstreams {
+		if u.gone {
+			continue
+		}
 		vm := u.vm
 		vm.Boot = u.Boot()
 		fleet.Upstreams = append(fleet.Upstreams, vm)
--- a/embedder/shape.go
+++ b/embedder/shape.go
@@ -26,6 +26,7 @@
 	zone     almondstep.ZoneName
 	instance string
 	shard    uint32
+	replica  int
 }
 
 // shards is the number of shards of the service over zones.
@@ -36,19 +37,20 @@
 	return max(1, s.Servers/zones)
 }
 
-// place spreads the servers so that consecutive ones stand in different zones
-// and serve the same shard: with 3 zones, servers 0, 1, 2 are the replicas of
-// shard 0 and servers 3, 4, 5 those of shard 1. Servers left over are further
-// replicas, from shard 0 on.
+// place spreads the replicas of a shard over the zones: with 3 zones, shard 0 has
+// its replicas in zones 0, 1, 2, shard 1 in zones 1, 2, 0. Servers left over are
+// further replicas, from shard 0 on.
 func (s ServiceShape) place(zones []almondstep.ZoneName) []placedServer {
 	const serversPerInstance = 2
 	shards := s.shards(len(zones))
 	placed := make([]placedServer, s.Servers)
 	for i := range placed {
+		shard, replica := i%shards, i/shards
 		placed[i] = placedServer{
-			zone:     zones[i%len(zones)],
-			instance: fmt.Sprintf("%s-%02d", s.Service, i/(len(zones)*serversPerInstance)),
-			shard:    uint32(i / len(zones) % shards),
+			zone:     zones[(shard+replica)%len(zones)],
+			instance: fmt.Sprintf("%s-%04d", s.Service, i/serversPerInstance),
+			shard:    uint32(shard),
+			replica:  replica,
 		}
 	}
 	return placed
--- /dev/null
+++ b/experimenter/text.go
@@ -0,0 +1,45 @@
+package experimenter
+
+import (
+	"encoding/json"
+	"time"
+
+	"almondstep"
+)
+
+const (
+	serviceName = almondstep.ServiceName("lots")
+	schemeName  = almondstep.SchemeName("plain")
+	searchText  = "walnut"
+
+	slotsPerServer       = 2
+	connectionsPerServer = 12
+)
+
+// text is the operators' text of a run, with the last zone out or not.
+func (s *Scenario) operatorsText(lastZoneOut bool) ([]byte, error) {
+	t := almondstep.CatalogText{
+		Schemes: []almondstep.SchemeName{schemeName},
+		Classes: []almondstep.ClassText{
+			{Name: "urgent", Priority: 0, SoftDeadline: "53ms", HardDeadline: "250ms", LeastCoverage: 0.99},
+			{Name: "routine", Priority: 1, HardDeadline: "1s"},
+		},
+		Tenants: []almondstep.TenantText{{Name: "growers", Share: 1, MaxOpen: 100_000}},
+		Services: []almondstep.ServiceText{{
+			Name:               serviceName,
+			Names:              map[almondstep.SchemeName]string{schemeName: string(serviceName)},
+			Slots:              slotsPerServer,
+			Connections:        connectionsPerServer,
+			ServersPerInstance: 1,
+			DialTime:           time.Millisecond.String(),
+		}},
+	}
+	for i := range s.text.Zones {
+		t.Zones = append(t.Zones, almondstep.ZoneText{
+			Name:   zoneName(i),
+			Region: "region",
+			Out:    lastZoneOut && i == s.text.Zones-1,
+		})
+	}
+	return json.MarshalIndent(t, "", "  ")
+}
--- /dev/null
+++ b/generator/generator.go
@@ -0,0 +1,149 @@
+// Package generator asks at a steady rate and counts what comes back.
+//
+// Arrivals are open-loop: they come when a seeded Poisson process says so,
+// whether or not earlier ones were answered, and a request's time runs from when
+// it was due. A system that stalls is thus charged for all that should have
+// arrived meanwhile (no coordinated omission).
+//
+//	g := &generator.Generator{Rate: 50, Duration: 10 * time.Second, Seed: 1, Kinds: kinds, Ask: ask}
+//	report := g.Run(ctx)
+package generator
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"almondstep"
+)
+
+// Kind is one kind of request of the mix.
+type Kind struct {
+	Tenant almondstep.TenantName
+	Class  almondstep.ClassName
+	Scheme almondstep.SchemeName
+	Name   string
+	Text   string
+	// Weight is the kind's part of the mix.
+	Weight int
+}
+
+// Generator is one run. Set the fields, then call Run.
+type Generator struct {
+	// Rate is the arrivals per second.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+	Kinds    []Kind
+	// Ask sends one request and returns its answer. Number counts the requests
+	// from 0.
+	Ask func(ctx context.Context, k Kind, number int) (*almondstep.Answer, error)
+	// Observe, if set, is told of each answer and whether it is true.
+	Observe func(k Kind, a *almondstep.Answer)
+	// Each, if set, is told every second how many were sent and answered.
+	Each func(sent, answered int)
+}
+
+// Run sends requests for Duration, waits for the answers and gives the report.
+func (g *Generator) Run(ctx context.Context) *Report {
+	r := newReport(time.Now())
+	var wg sync.WaitGroup
+	random := rng{state: g.Seed}
+	due := time.Now()
+	end := due.Add(g.Duration)
+	stop := g.progress(r)
+	defer stop()
+	for number := 0; ; number++ {
+		due = due.Add(random.gap(g.Rate))
+		if due.After(end) || !sleepUntil(ctx, due) {
+			break
+		}
+		k := g.pick(&random)
+		r.sent.Add(1)
+		arrival := due
+		wg.Go(func() { g.one(ctx, r, k, number, arrival) })
+	}
+	wg.Wait()
+	r.ended = time.Now()
+	return r
+}
+
+func (g *Generator) one(ctx context.Context, r *Report, k Kind, number int, due time.Time) {
+	a, err := g.Ask(ctx, k, number)
+	r.add(k, a, err, due, time.Now())
+	if g.Observe != nil && err == nil {
+		g.Observe(k, a)
+	}
+}
+
+// pick draws a kind by weight.
+func (g *Generator) pick(random *rng) Kind {
+	total := 0
+	for _, k := range g.Kinds {
+		total += k.Weight
+	}
+	n := int(random.next() % uint64(total))
+	for _, k := range g.Kinds {
+		if n < k.Weight {
+			return k
+		}
+		n -= k.Weight
+	}
+	return g.Kinds[0]
+}
+
+func (g *Generator) progress(r *Report) (stop func()) {
+	if g.Each == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				g.Each(int(r.sent.Load()), int(r.answered.Load()))
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
+// rng is a splitmix64 generator.
+type rng struct{ state uint64 }
+
+func (r *rng) next() uint64 {
+	r.state += 0x9e3779b97f4a7c15
+	z := r.state
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// gap draws the time to the next arrival of a Poisson process.
+func (r *rng) gap(perSecond float64) time.Duration {
+	const mantissa = 53
+	u := (float64(r.next()>>(64-mantissa)) + 1) / (1 << mantissa)
+	return time.Duration(-math.Log(u) / perSecond * float64(time.Second))
+}
--- a/querier/queries.go
+++ b/querier/queries.go
@@ -21,6 +21,8 @@
 	ExtraPerMille int
 	// ExtraBurst bounds the hedges and retries saved up.
 	ExtraBurst int
+	// NoExtra turns hedges and retries off, for comparison.
+	NoExtra bool
 	// Remembered is the number of requests whose behavior is remembered.
 	Remembered int
 }
@@ -86,6 +88,10 @@
 	if cfg.ExtraBurst == 0 {
 		cfg.ExtraBurst = defaultExtraBurst
 	}
+	if cfg.NoExtra {
+		cfg.ExtraPerMille = 0
+		cfg.ExtraBurst = 0
+	}
 	if cfg.Remembered == 0 {
 		cfg.Remembered = defaultRemembered
 	}
--- a/starter/daemon.go
+++ b/starter/daemon.go
@@ -28,6 +28,8 @@
 type Daemon struct {
 	Settings *loader.Settings
 	Logger   hclog.Logger
+	// NoHedge turns hedges and retries off, for comparison.
+	NoHedge bool
 
 	runner    *runner.Runner
 	recorder  *recorder.Recorder
--- a/starter/parts.go
+++ b/starter/parts.go
@@ -152,7 +152,7 @@
 	for i := range reducers {
 		seed := d.seed(self) + uint64(i)
 		reducers[i] = &reducer.Reducer{
-			Queries: querier.New(querier.Config{Seed: seed, Partitions: n}),
+			Queries: querier.New(querier.Config{Seed: seed, Partitions: n, NoExtra: d.NoHedge}),
 			Gathers: gatherer.New(gatherer.Config{}),
 			Upstreams: limiter.New(limiter.Config{
 				Seed: seed,
