A canceled request frees a warm upstream's slot once it must have been heeded

Cause: with hedging the 100-shard scenario was far slower than without (p50 232 against 11 ms, p99 1000 against 58 ms). A trace of one upstream showed items queued for 988 ms without a start: a request given up on was charged against the allowance until its deadline, and an upstream that hasn't answered for a while is allowed one request, so a single canceled hedge closed it. Ruled out: connections (no call took over 100 ms), owners counted as silent. Change: a warm upstream under a full grant is charged for a canceled request for 10 ms, the time a cancellation takes to be heeded; a cold one, or one that others may use, until it must have ended, as before. The new test fails without it.

--- /dev/null
+++ b/limiter/canceled_test.go
@@ -0,0 +1,43 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/limiter"
+)
+
+// A hedge's loser that was canceled holds an idle warm upstream's slot only
+// until the cancellation must have been heeded, a cold one's until it must have
+// ended. The former fault: one canceled request kept an idle upstream from work
+// for the rest of its second.
+func TestCanceledCallHoldsItsSlot(t *testing.T) {
+	const idle, left = 5 * time.Second, time.Second
+	for _, c := range []struct {
+		name  string
+		warm  bool
+		after time.Duration
+		want  int
+	}{
+		{"warm, at once", true, time.Millisecond, 0},
+		{"warm, heeded", true, 20 * time.Millisecond, 1},
+		{"cold, heeded", false, 20 * time.Millisecond, 0},
+		{"cold, ended", false, 1200 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, limiter.Config{})
+			if c.warm {
+				r.warm()
+			}
+			r.wait(idle)
+			call := started(r.search(left))[0].Call
+			r.reduce(&almondstep.ItemCanceled{ID: r.query, Attempt: 1, Item: item()})
+			r.end(call, almondstep.CallCanceled, "", time.Millisecond)
+			r.wait(c.after)
+			if got := len(started(r.search(left))); got != c.want {
+				t.Errorf("got %d starts, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,6 +12,11 @@
 // little later than here.
 const ghostMargin = 50 * time.Millisecond
 
+// cancelMargin is how long the word that a request is no longer wanted takes to
+// stop it. Upstreams accept cancellation; only a cold one is not trusted with it,
+// since it may be too slow to notice.
+const cancelMargin = 10 * time.Millisecond
+
 // ghostsKept bounds the ghosts of one upstream, which is far over any slots.
 const ghostsKept = 256
 
@@ -47,6 +53,14 @@
 	}
 }
 
+// ghost is a request that this daemon no longer waits for.
+type ghost struct {
+	// heeded is when a cancellation must have stopped it, if it was heeded.
+	heeded almondstep.Instant
+	// ended is when it has ended whatever was heeded.
+	ended almondstep.Instant
+}
+
 // haunt remembers a request that this daemon no longer waits for and that may
 // still run at the upstream.
 func (up *upstream) haunt(now almondstep.Instant, en *entry, r almondstep.CallResult) {
@@ -55,15 +69,18 @@
 	default:
 		return
 	}
-	end := en.endsBy.Add(ghostMargin)
-	if end <= now {
+	g := ghost{heeded: en.endsBy.Add(ghostMargin), ended: en.endsBy.Add(ghostMargin)}
+	if r == almondstep.CallCanceled {
+		g.heeded = min(g.heeded, now.Add(cancelMargin))
+	}
+	if g.ended <= now {
 		return
 	}
 	if len(up.ghosts) >= ghostsKept {
-		soonest := slices.Index(up.ghosts, slices.Min(up.ghosts))
-		up.ghosts = slices.Delete(up.ghosts, soonest, soonest+1)
+		soonest := slices.MinFunc(up.ghosts, func(a, b ghost) int { return cmp.Compare(a.ended, b.ended) })
+		up.ghosts = slices.Delete(up.ghosts, slices.Index(up.ghosts, soonest), slices.Index(up.ghosts, soonest)+1)
 	}
-	up.ghosts = append(up.ghosts, end)
+	up.ghosts = append(up.ghosts, g)
 }
 
 // learn takes what the end of a call shows of the upstream.
--- a/limiter/starts.go
+++ b/limiter/starts.go
@@ -165,8 +165,10 @@
 	at := up.queue.earliest()
 	lost := up.warmth.temperature == almondstep.Lost
 	if !up.owned || lost || up.queue.count > 0 {
-		for _, end := range up.ghosts {
-			at = sooner(at, end)
+		for _, g := range up.ghosts {
+			if end := up.endOf(g); end > now {
+				at = sooner(at, end)
+			}
 		}
 	}
 	if up.pauseUntil > now && (up.queue.count > 0 || lost) {
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -35,7 +35,7 @@
 	calls   []*entry
 	// ghosts are the times until which requests that this daemon has given up
 	// may still run at the upstream.
-	ghosts   []almondstep.Instant
+	ghosts   []ghost
 	suspects suspects
 
 	timerAt    almondstep.Instant
@@ -235,21 +235,36 @@
 	return max(1, up.warmth.capacity())
 }
 
-// busy is how many requests may be running at the upstream. A cold one is
-// charged for what was given up too, since it may not have stopped.
+// busy is how many requests may be running at the upstream. A cold one, and one
+// that others may use too, is charged for what was given up until it must have
+// ended. A warm one that hasn't answered lately is charged only until a
+// cancellation must have been heeded: otherwise a single hedge that was canceled
+// would keep an idle upstream from work for the rest of its deadline.
 func (up *upstream) busy(now almondstep.Instant) int {
 	up.forgetGhosts(now)
 	if up.surelyWarm(now) {
 		return len(up.calls)
 	}
-	return len(up.calls) + len(up.ghosts)
+	busy := len(up.calls)
+	for _, g := range up.ghosts {
+		if up.endOf(g) > now {
+			busy++
+		}
+	}
+	return busy
+}
+
+// endOf is when a ghost no longer counts.
+func (up *upstream) endOf(g ghost) almondstep.Instant {
+	if up.warmth.temperature == almondstep.Warm && up.grant == almondstep.GrantFull {
+		return g.heeded
+	}
+	return g.ended
 }
 
 // forgetGhosts drops what has run out.
 func (up *upstream) forgetGhosts(now almondstep.Instant) {
-	up.ghosts = slices.DeleteFunc(up.ghosts, func(end almondstep.Instant) bool {
-		return end <= now
-	})
+	up.ghosts = slices.DeleteFunc(up.ghosts, func(g ghost) bool { return g.ended <= now })
 }
 
 // mayStart says whether one more request may be sent.
