--- a/querier/queries.go
+++ b/querier/queries.go
@@ -19,7 +19,8 @@
 	Partitions int
 	// ExtraPerMille is the number of hedges and retries per 1,000 sub-requests.
 	ExtraPerMille int
-	// ExtraBurst bounds the hedges and retries saved up.
+	// ExtraBurst bounds the hedges and retries that all partitions of the daemon
+	// have saved up together.
 	ExtraBurst int
 	// NoExtra turns hedges and retries off, for comparison.
 	NoExtra bool
@@ -64,17 +65,18 @@
 // New makes a partition without queries.
 func New(cfg Config) *Queries {
 	cfg = withDefaults(cfg)
+	burst := cfg.ExtraBurst / max(1, cfg.Partitions)
 	q := &Queries{
 		cfg:         cfg,
 		open:        make(map[almondstep.QueryID]*query),
 		admitter:    admitter.New(cfg.MaxOpen, cfg.Partitions),
-		budget:      hedger.Budget{SharePerMille: cfg.ExtraPerMille, Burst: cfg.ExtraBurst},
+		budget:      hedger.Budget{SharePerMille: cfg.ExtraPerMille, Burst: burst},
 		digests:     make(map[almondstep.ServiceName]*hedger.Digest),
 		reputations: newReputations(cfg.Remembered),
 		silences:    make(silences),
 		scratch:     newScratch(),
 	}
-	q.budget.Start(cfg.ExtraBurst / startShare)
+	q.budget.Start(burst / startShare)
 	return q
 }
 
