Carry the source of each record between daemons

Cause: some shards were missing as failed although no call had failed. Answers carry each record's source, so that a hedge's late twin can be left out, and the codec dropped it, so an answer with one such item was dropped whole. Change: the reply carries sources; the test fills every field by reflection, so that a field the codec forgets shows. Conclusion: the former test named its fields by hand and missed the new one.

--- a/messenger/codec_work.go
+++ b/messenger/codec_work.go
@@ -114,6 +114,7 @@
 		Items:    groupItems(items),
 		Outcomes: outcomes,
 		Records:  records,
+		Sources:  a.Sources,
 	}
 }
 
@@ -143,5 +144,6 @@
 		Version: almondstep.Version(r.GetVersion()),
 		Items:   answers,
 		Records: records,
+		Sources: r.GetSources(),
 	}
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -7,7 +7,6 @@
 	"reflect"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -30,18 +29,7 @@
 	if e.workErr != nil {
 		return nil, e.workErr
 	}
-	a := &almondstep.WorkAnswered{ID: w.Query, Attempt: w.Attempt, Owner: "b", Version: w.Version}
-	for i, it := range w.Items {
-		a.Items = append(a.Items, almondstep.ItemAnswer{
-			Item:    it,
-			Outcome: almondstep.ItemPending,
-			Reason:  almondstep.ReasonShed,
-			Total:   i + 1,
-			Took:    time.Duration(i) * time.Millisecond,
-		})
-	}
-	a.Records = []almondstep.Record{{Key: "k", Body: "b"}}
-	return a, nil
+	return filled[almondstep.WorkAnswered](), nil
 }
 
 func (e *echo) Probe(_ context.Context, _ almondstep.DaemonID, d *almondstep.Digest) (*almondstep.Digest, bool, error) {
@@ -76,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want, _ := (&echo{}).Work(t.Context(), "a", w)
+	want := filled[almondstep.WorkAnswered]()
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
