--- a/commander/exit_codes.go
+++ b/commander/exit_codes.go
@@ -35,7 +35,7 @@
 		{code: codeDone, help: "done; an answer is complete"},
 		{code: codeFailed, help: "failed for another reason"},
 		{code: codeUsage, help: "the arguments are wrong; nothing was done", errs: []error{errUsage}},
-		{code: codeUnknown, help: "no answer came back; it may have taken effect", errs: []error{applier.ErrOutcomeUnknown}},
+		{code: codeUnknown, help: "no answer came back; it may have taken effect", errs: []error{applier.ErrOutcomeUnknown, errOutcome}},
 		{code: codeInvalid, help: "a text or file is not sound; nothing was done", errs: []error{almondstep.ErrInvalid, almondstep.ErrCorrupt}},
 		{code: codeConflict, help: "another edit came first; nothing was done", errs: []error{almondstep.ErrConflict}},
 		{code: codeUnavailable, help: "the platform or a daemon doesn't answer", errs: []error{almondstep.ErrUnavailable}},
@@ -45,6 +45,9 @@
 	}
 }
 
+// errOutcome is returned by a verb whose request may have run.
+var errOutcome = errors.New("the outcome is unknown")
+
 // errPartial is returned by a verb whose answer is partial.
 var errPartial = errors.New("the answer is partial")
 
--- /dev/null
+++ b/commander/verb_query.go
@@ -0,0 +1,110 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"almondstep"
+	"almondstep/requester"
+	"almondstep/server"
+)
+
+const queryName = "query"
+
+// queryTimeout bounds the wait for a daemon that doesn't answer at all.
+const queryTimeout = 90 * time.Second
+
+// queryVerb asks a daemon for a search, or for an operation.
+type queryVerb struct {
+	Name      string `arg:"positional,required" help:"the service's name in any scheme"`
+	Text      string `arg:"positional" help:"what to search for, or the operation's body"`
+	Daemon    string `arg:"--daemon" default:"127.0.0.1:7101" help:"a daemon's address for callers"`
+	Scheme    string `arg:"--scheme" help:"the naming scheme; empty if the name is the same in all that have it"`
+	Tenant    string `arg:"--tenant,required" help:"the tenant that asks"`
+	Class     string `arg:"--class" default:"routine" help:"the class of the request"`
+	Limit     int    `arg:"--limit" default:"10" help:"the most records to show, 1 to 10000"`
+	Deadline  string `arg:"--deadline" help:"like 40ms, at most 60s; empty for the class's own"`
+	Operation string `arg:"--operation" help:"run this operation in place of a search"`
+	RecordKey string `arg:"--record-key" help:"the key of the record the operation is on"`
+	Key       string `arg:"--key" help:"an idempotency key: Unix milliseconds, a dash, and letters drawn at random"`
+	JSON      bool   `arg:"--json" help:"print the answer as JSON"`
+}
+
+func newQuery() verb { return &queryVerb{} }
+
+func (v *queryVerb) run(ctx context.Context, env *Env) error {
+	if v.Operation == "" && (v.Key != "" || v.RecordKey != "") {
+		return badUsage("--key and --record-key go with --operation")
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	c := &requester.Client{Base: "http://" + v.Daemon}
+	defer c.Close()
+	a, err := v.ask(ctx, c)
+	if err != nil {
+		return err
+	}
+	if err := v.print(env, a); err != nil {
+		return err
+	}
+	return outcomeError(a)
+}
+
+func (v *queryVerb) ask(ctx context.Context, c *requester.Client) (*almondstep.Answer, error) {
+	if v.Operation != "" {
+		return c.Run(ctx, &server.RunRequest{
+			Scheme:    almondstep.SchemeName(v.Scheme),
+			Name:      v.Name,
+			Tenant:    almondstep.TenantName(v.Tenant),
+			Class:     almondstep.ClassName(v.Class),
+			Operation: v.Operation,
+			RecordKey: v.RecordKey,
+			Body:      v.Text,
+			Deadline:  v.Deadline,
+		}, v.Key)
+	}
+	return c.Search(ctx, &server.SearchRequest{
+		Scheme:   almondstep.SchemeName(v.Scheme),
+		Name:     v.Name,
+		Tenant:   almondstep.TenantName(v.Tenant),
+		Class:    almondstep.ClassName(v.Class),
+		Text:     v.Text,
+		Limit:    v.Limit,
+		Deadline: v.Deadline,
+	})
+}
+
+func (v *queryVerb) print(env *Env, a *almondstep.Answer) error {
+	if v.JSON {
+		return writeJSON(env.Stdout, a)
+	}
+	for _, r := range a.Records {
+		printf(env.Stdout, "%s\t%s\n", r.Key, r.Body)
+	}
+	c := a.Coverage
+	printf(env.Stdout, "%s: %d records in %d of %d shards, version %d, %s\n",
+		a.Outcome, a.Total, c.Included, c.Wanted, c.Version, a.Took.Round(time.Microsecond))
+	if a.Code != "" {
+		printf(env.Stdout, "%s: %s\n", a.Code, a.Message)
+	}
+	for _, m := range c.Missing {
+		printf(env.Stdout, "missing: %s shard %d of %d, key hashes %08x to %08x: %s\n",
+			m.Service, m.Shard, m.Of, m.From, m.To, m.Reason)
+	}
+	return nil
+}
+
+// outcomeError gives the error whose exit code says how a request ended.
+func outcomeError(a *almondstep.Answer) error {
+	switch a.Outcome {
+	case almondstep.OutcomeComplete:
+		return nil
+	case almondstep.OutcomePartial:
+		return reported(errPartial)
+	case almondstep.OutcomeNotRun:
+		return reported(fmt.Errorf("%s: %w", a.Code, almondstep.ErrNotRun))
+	default:
+		return reported(fmt.Errorf("%s: %w", a.Code, errOutcome))
+	}
+}
--- a/commander/verbs.go
+++ b/commander/verbs.go
@@ -15,6 +15,11 @@
 		{resolveName, "Show what a caller's name means and what it depends on.", newResolve},
 		{showName, "Print the text in force, a former one, or the recent edits.", newShow},
 		{applyName, "Put an edited text in force.", newApply},
+		{queryName, "Ask a daemon for a search or an operation.", newQuery},
+		{statusName, "Show what every daemon says of itself.", newStatus},
+		{demoName, "Show the whole path in one process and check what it promises.", newDemo},
+		{loadName, "Run a scenario under a steady rate, beside naive policies.", newLoad},
+		{standinName, "Run a stand-in for the platform, or for an upstream.", newStandin},
 		{rollbackName, "Put a former text in force again, as a new revision.", newRollback},
 	}
 }
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -122,14 +122,21 @@
 // Name is the scenario's name.
 func (s *Scenario) Name() string { return s.text.Name }
 
-// SetRate replaces the scenario's rate, in searches per second.
-func (s *Scenario) SetRate(rate float64) { s.text.Rate = rate }
-
-// SetShards replaces the number of shards.
-func (s *Scenario) SetShards(n int) { s.text.Shards = n }
-
-// SetDuration replaces the scenario's duration.
-func (s *Scenario) SetDuration(d time.Duration) { s.duration = d }
+// Override replaces what isn't 0 and checks the scenario again.
+func (s *Scenario) Override(shards int, rate float64, duration time.Duration) error {
+	if shards != 0 {
+		s.text.Shards = shards
+	}
+	if rate != 0 {
+		s.text.Rate = rate
+	}
+	if duration != 0 {
+		s.duration = duration
+	}
+	c := checker{}
+	s.checkRanges(&c)
+	return c.err()
+}
 
 // checker collects what is wrong.
 type checker struct{ problems []string }
