--- a/distributor/document.go
+++ b/distributor/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"almondstep"
@@ -12,6 +13,10 @@
 // changes of configuration a day that is half a day.
 const maxFormer = 256
 
+// maxRefused is the number of refused editions that are remembered, so that each
+// is reported once.
+const maxRefused = 16
+
 // document is one document: the edition held, the former ones' fingerprints,
 // and what is under way to get a newer one.
 type document struct {
@@ -32,8 +37,8 @@
 
 	reader reader
 	puller puller
-	// refused is the last edition that was reported and not taken.
-	refused refusal
+	// refused holds the last few editions that were reported and not taken.
+	refused []refusal
 	// unsound is the last edition that didn't pass the check. It isn't asked
 	// for again.
 	unsound refusal
@@ -136,10 +141,13 @@
 // refuse reports an edition that isn't taken, once.
 func (d *document) refuse(next *almondstep.Document, from, reason string, out []almondstep.Effect) []almondstep.Effect {
 	r := refusal{revision: next.Revision, hash: next.Hash, reason: reason}
-	if d.refused == r {
+	if slices.Contains(d.refused, r) {
 		return out
 	}
-	d.refused = r
+	if len(d.refused) == maxRefused {
+		d.refused = slices.Delete(d.refused, 0, 1)
+	}
+	d.refused = append(d.refused, r)
 	return append(out, &almondstep.Report{
 		Level:   almondstep.ReportWarn,
 		Subject: string(d.name),
--- a/distributor/documents_test.go
+++ b/distributor/documents_test.go
@@ -138,6 +138,19 @@
 	}
 }
 
+// Two bad sources in turn are reported once each.
+func TestEachRefusalIsReportedOnce(t *testing.T) {
+	d := holding(t, 7)
+	var out []almondstep.Effect
+	for n := range 20 {
+		old := text(almondstep.Revision(5 + n%2))
+		out = d.Reduce(at(n), &almondstep.DocumentRead{Name: old.Name, Document: old, Asked: at(n)}, out)
+	}
+	if got, want := len(only[*almondstep.Report](out)), 2; got != want {
+		t.Errorf("got %d reports, want %d", got, want)
+	}
+}
+
 func TestOnlyRelaysRead(t *testing.T) {
 	d := holding(t, 7)
 	for i := range 100 {
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -93,3 +94,27 @@
 		}
 	}
 }
+
+// The sample settings are sound and don't get in each other's way.
+func TestExamplesAreSound(t *testing.T) {
+	files, err := filepath.Glob("../examples/daemon-*.jsonc")
+	if err != nil || len(files) != 3 {
+		t.Fatalf("got %d files and %v, want 3", len(files), err)
+	}
+	taken := make(map[almondstep.Address]string)
+	for _, file := range files {
+		s, err := loader.Load(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range []almondstep.Address{s.ListenCallers, s.ListenOperators, s.ListenPeers} {
+			if first, ok := taken[a]; ok {
+				t.Errorf("%s listens on %s, as does %s", file, a, first)
+			}
+			taken[a] = file
+		}
+		if _, ok := s.Distances[s.Zone]; ok || len(s.Distances) != 2 {
+			t.Errorf("%s: got distances %v, want those to the two other zones", file, s.Distances)
+		}
+	}
+}
