Dialer: a caller's deadline is a timeout; only a refused connection counts as refused

Cause: the runner gives each call a context with the attempt's own timeout, so half of the timeouts could be told as canceled. And a request that got no connection in time counted as refused, which the limiter takes as evidence of a crash and may quarantine an innocent request for. Change: canceled means canceled; refused means that the upstream's machine refused the connection; whatever else was not sent in time is a timeout, which is safe though it says less than could be said: the request has not run. A request that met a connection closed by the upstream with nothing written is sent for the first time on another. Conclusion: a result of its own for requests never sent would let an operation be refused as not run in this case; it needs the limiter too.

--- a/dialer/attempt.go
+++ b/dialer/attempt.go
@@ -8,8 +8,11 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"almondstep"
 )
 
@@ -63,13 +66,13 @@
 		resp, err = t.send(ctx)
 	}
 	if err != nil {
-		ended.Result = t.failure(parent, ctx)
+		ended.Result = t.failure(parent, ctx, err)
 		p.suspectTimeout(t)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := t.decode(resp); err != nil {
-		ended.Result = t.failure(parent, ctx)
+		ended.Result = t.failure(parent, ctx, err)
 		return
 	}
 	if ended.Result == almondstep.CallDone {
@@ -77,14 +80,15 @@
 	}
 }
 
-// unsent says that the request met a connection that this side had just closed,
-// with none of it written, so that sending it now sends it for the first time.
+// unsent says that the request met a connection that was just closed, by
+// either side, with none of it written, so that sending it now sends it for
+// the first time.
 func (t *attempt) unsent(ctx context.Context) bool {
-	c := t.conn.Load()
-	return ctx.Err() == nil && c != nil && c.closed.Load() && !t.written()
+	return ctx.Err() == nil && t.conn.Load() != nil && !t.written()
 }
 
 func (t *attempt) send(ctx context.Context) (*http.Response, error) {
+	t.conn.Store(nil)
 	body := encodeCall(t.start)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:     t.gotConn,
@@ -134,15 +138,16 @@
 	return c.written.Load() > t.writtenBefore
 }
 
-// failure says how a request without a whole answer ended. What was not
-// written can't have run.
-func (t *attempt) failure(parent, ctx context.Context) almondstep.CallResult {
+// failure says how a request without a whole answer ended. CallRefused is said
+// only when the upstream's machine refused the connection: it counts as
+// evidence of a crash, which the want of a connection in time is not.
+func (t *attempt) failure(parent, ctx context.Context, err error) almondstep.CallResult {
 	switch {
-	case parent.Err() != nil:
+	case errors.Is(parent.Err(), context.Canceled):
 		return almondstep.CallCanceled
-	case !t.written():
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return almondstep.CallRefused
-	case t.silent.Load(), ctx.Err() != nil:
+	case t.silent.Load(), ctx.Err() != nil, !t.written():
 		return almondstep.CallTimeout
 	default:
 		return almondstep.CallBroken
--- a/dialer/client_test.go
+++ b/dialer/client_test.go
@@ -115,3 +115,29 @@
 	a.Timeout = 50 * time.Millisecond
 	wantResult(t, client(t).Do(context.Background(), a), almondstep.CallTimeout)
 }
+
+// The caller's own deadline is a timeout too, not a cancel.
+func TestCallersDeadline(t *testing.T) {
+	s := start(t, &upstream.Server{Latency: upstream.Latency{Base: time.Minute}})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	wantResult(t, client(t).Do(ctx, search(addrOf(s))), almondstep.CallTimeout)
+}
+
+// An idle connection that the upstream closed costs nothing: the request is
+// sent for the first time on another.
+func TestIdleConnectionClosed(t *testing.T) {
+	u := startRaw(t, func(_, _ int, c net.Conn) bool {
+		reply(c, emptyAnswer)
+		_ = c.Close()
+		return false
+	})
+	c := client(t)
+	for range 20 {
+		// The end of the former connection may arrive before, while or after
+		// the next request is written; only then may it be broken.
+		if got := c.Do(context.Background(), search(u.addr)).Result; got != almondstep.CallDone && got != almondstep.CallBroken {
+			t.Errorf("got result %d, want an answer or a broken connection", got)
+		}
+	}
+}
--- a/dialer/silence.go
+++ b/dialer/silence.go
@@ -130,7 +130,7 @@
 	if t.ended.Result != almondstep.CallTimeout || !t.start.Idempotent || t.silent.Load() {
 		return
 	}
-	if c := t.conn.Load(); c.heard.Load() < t.began.UnixNano() {
+	if c := t.conn.Load(); c != nil && c.heard.Load() < t.began.UnixNano() {
 		go p.prove(t)
 	}
 }
