--- a/planner/build.go
+++ b/planner/build.go
@@ -5,8 +5,17 @@
 // build makes the plan of one version.
 func build(v *almondstep.View, closure []almondstep.ServiceName, version almondstep.Version) *Plan {
 	plan := &Plan{version: version, complete: true, warm: true}
-	for _, s := range closure {
-		plan.addService(v, s, choosePlacement(v, s, version))
+	k := newRanker(v)
+	placements := make([]almondstep.Placement, len(closure))
+	wanted := 0
+	for i, s := range closure {
+		placements[i] = choosePlacement(v, k, s, version)
+		wanted += int(placements[i].Of())
+	}
+	plan.targets = make([]Target, 0, wanted)
+	plan.spans = make([]span, 0, len(closure))
+	for i, s := range closure {
+		plan.addService(k, s, placements[i])
 	}
 	return plan
 }
@@ -15,18 +24,10 @@
 // covers the most of the key space: while shards are being repartitioned there
 // can be two. Where the version has none, every shard of the newest
 // partitioning is wanted and none can be had.
-func choosePlacement(v *almondstep.View, s almondstep.ServiceName, version almondstep.Version) almondstep.Placement {
-	var chosen almondstep.Placement
-	covered := uint64(0)
-	for _, p := range v.Placements(s) {
-		if p.Version() != version || p.Of() == 0 {
-			continue
-		}
-		c := coveredBy(v, s, p)
-		if chosen.Of() == 0 || c > covered {
-			chosen = p
-			covered = c
-		}
+func choosePlacement(v *almondstep.View, k *ranker, s almondstep.ServiceName, version almondstep.Version) almondstep.Placement {
+	chosen, many := onlyPlacement(v, s, version)
+	if many {
+		chosen = fullestPlacement(v, k, s, version)
 	}
 	if chosen.Of() != 0 {
 		return chosen
@@ -40,11 +41,42 @@
 	return almondstep.NewPlacement(version, 1, nil)
 }
 
-func coveredBy(v *almondstep.View, s almondstep.ServiceName, p almondstep.Placement) uint64 {
+// onlyPlacement gives the first placement at a version and says whether there
+// are more.
+func onlyPlacement(v *almondstep.View, s almondstep.ServiceName, version almondstep.Version) (only almondstep.Placement, many bool) {
+	for _, p := range v.Placements(s) {
+		if p.Version() != version || p.Of() == 0 {
+			continue
+		}
+		if only.Of() != 0 {
+			return only, true
+		}
+		only = p
+	}
+	return only, false
+}
+
+func fullestPlacement(v *almondstep.View, k *ranker, s almondstep.ServiceName, version almondstep.Version) almondstep.Placement {
+	var chosen almondstep.Placement
+	most := uint64(0)
+	for _, p := range v.Placements(s) {
+		if p.Version() != version || p.Of() == 0 {
+			continue
+		}
+		if c := coveredBy(k, s, p); chosen.Of() == 0 || c > most {
+			chosen = p
+			most = c
+		}
+	}
+	return chosen
+}
+
+func coveredBy(k *ranker, s almondstep.ServiceName, p almondstep.Placement) uint64 {
 	covered := uint64(0)
 	for i := range p.Of() {
-		for _, r := range p.Replicas(i) {
-			if Usable(v, r) {
+		replicas := p.Replicas(i)
+		for j := range replicas {
+			if k.usable(&replicas[j]) {
 				covered += width(almondstep.NewShard(s, i, p.Of()))
 				break
 			}
@@ -53,16 +85,16 @@
 	return covered
 }
 
-func (p *Plan) addService(v *almondstep.View, s almondstep.ServiceName, placement almondstep.Placement) {
+func (p *Plan) addService(k *ranker, s almondstep.ServiceName, placement almondstep.Placement) {
 	of := placement.Of()
 	p.spans = append(p.spans, span{service: s, of: of, first: len(p.targets), count: int(of)})
 	for i := range of {
-		p.addTarget(v, almondstep.NewShard(s, i, of), placement.Replicas(i))
+		p.addTarget(k, almondstep.NewShard(s, i, of), placement.Replicas(i))
 	}
 }
 
-func (p *Plan) addTarget(v *almondstep.View, s almondstep.Shard, replicas []almondstep.Replica) {
-	candidates, equals := rank(v, replicas)
+func (p *Plan) addTarget(k *ranker, s almondstep.Shard, replicas []almondstep.Replica) {
+	candidates, equals := k.rank(replicas)
 	p.targets = append(p.targets, Target{shard: s, candidates: candidates, equals: equals})
 	if len(candidates) == 0 {
 		p.complete = false
@@ -104,6 +136,6 @@
 func oneShard(v *almondstep.View, version almondstep.Version, s almondstep.Shard, p almondstep.Placement) *Plan {
 	plan := &Plan{version: version, complete: true, warm: true}
 	plan.spans = []span{{service: s.Service(), of: s.Of(), base: s.Index(), count: 1}}
-	plan.addTarget(v, s, p.Replicas(s.Index()))
+	plan.addTarget(newRanker(v), s, p.Replicas(s.Index()))
 	return plan
 }
--- a/planner/rank.go
+++ b/planner/rank.go
@@ -2,54 +2,111 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"almondstep"
 )
 
 // Usable says whether a replica may get new work under a view at all.
 func Usable(v *almondstep.View, r almondstep.Replica) bool {
-	if r.Owner() == "" || v.Catalog() == nil {
-		return false
-	}
-	if r.Temperature() != almondstep.Warm && r.Temperature() != almondstep.Cold {
+	if v.Catalog() == nil || !alive(&r) {
 		return false
 	}
 	return !v.Catalog().ZoneOut(r.Zone())
 }
 
-// tier orders replicas before their distance does: a warm one anywhere goes
-// before a cold one, and the own zone goes before the others.
-func tier(v *almondstep.View, r almondstep.Replica) int {
+// alive says whether a replica could get work if its zone is in service.
+func alive(r *almondstep.Replica) bool {
+	t := r.Temperature()
+	return r.Owner() != "" && (t == almondstep.Warm || t == almondstep.Cold)
+}
+
+// compare orders replicas: a warm one anywhere goes before a cold one, the own
+// zone before the others, and then the nearest first.
+func compare(own almondstep.ZoneName, a, b *almondstep.Replica) int {
+	if d := tier(own, a) - tier(own, b); d != 0 {
+		return d
+	}
+	return cmp.Compare(a.Distance(), b.Distance())
+}
+
+func tier(own almondstep.ZoneName, r *almondstep.Replica) int {
 	t := 0
 	if r.Temperature() != almondstep.Warm {
 		t += 2
 	}
-	if r.Zone() != v.Zone() {
+	if r.Zone() != own {
 		t++
 	}
 	return t
 }
 
+// ranker ranks the replicas of many shards under one view. It looks the zones
+// that are out up once, and cuts its results from slabs, since a plan is made
+// anew for each view and queries wait for it meanwhile.
+type ranker struct {
+	own  almondstep.ZoneName
+	out  []almondstep.ZoneName
+	none bool
+	slab []almondstep.Replica
+}
+
+// slabSize is the number of replicas allocated at a time.
+const slabSize = 1_024
+
+func newRanker(v *almondstep.View) *ranker {
+	k := &ranker{own: v.Zone()}
+	if v.Catalog() == nil {
+		k.none = true
+		return k
+	}
+	for _, z := range v.Catalog().Text().Zones {
+		if z.Out {
+			k.out = append(k.out, z.Name)
+		}
+	}
+	return k
+}
+
+func (k *ranker) usable(r *almondstep.Replica) bool {
+	if k.none || !alive(r) {
+		return false
+	}
+	for _, z := range k.out {
+		if z == r.Zone() {
+			return false
+		}
+	}
+	return true
+}
+
 // rank sorts the usable replicas, best first, and counts those as good as the
-// first.
-func rank(v *almondstep.View, replicas []almondstep.Replica) ([]almondstep.Replica, int) {
-	usable := make([]almondstep.Replica, 0, len(replicas))
-	for _, r := range replicas {
-		if Usable(v, r) {
-			usable = append(usable, r)
+// first. There are few for each shard, so it inserts each at its place.
+func (k *ranker) rank(replicas []almondstep.Replica) ([]almondstep.Replica, int) {
+	if cap(k.slab)-len(k.slab) < len(replicas) {
+		k.slab = make([]almondstep.Replica, 0, max(slabSize, len(replicas)))
+	}
+	first := len(k.slab)
+	for i := range replicas {
+		if k.usable(&replicas[i]) {
+			k.slab = append(k.slab, replicas[i])
+			k.moveUp(k.slab[first:])
 		}
 	}
-	slices.SortFunc(usable, func(a, b almondstep.Replica) int {
-		return cmp.Or(compare(v, a, b), cmp.Compare(a.Upstream(), b.Upstream()))
-	})
+	ranked := k.slab[first:len(k.slab):len(k.slab)]
 	equals := 0
-	for equals < len(usable) && compare(v, usable[0], usable[equals]) == 0 {
+	for equals < len(ranked) && compare(k.own, &ranked[0], &ranked[equals]) == 0 {
 		equals++
 	}
-	return usable, equals
+	return ranked, equals
 }
 
-func compare(v *almondstep.View, a, b almondstep.Replica) int {
-	return cmp.Or(cmp.Compare(tier(v, a), tier(v, b)), cmp.Compare(a.Distance(), b.Distance()))
+// moveUp moves the last replica to its place among the sorted ones before it.
+func (k *ranker) moveUp(ranked []almondstep.Replica) {
+	for i := len(ranked) - 1; i > 0; i-- {
+		a, b := &ranked[i-1], &ranked[i]
+		if cmp.Or(compare(k.own, a, b), cmp.Compare(a.Upstream(), b.Upstream())) <= 0 {
+			return
+		}
+		*a, *b = *b, *a
+	}
 }
--- a/planner/repick.go
+++ b/planner/repick.go
@@ -94,7 +94,7 @@
 		}
 		return -1
 	}
-	return compare(v, a, b)
+	return compare(v.Zone(), &a, &b)
 }
 
 // Mix spreads the bits of x over the whole word (the finalizer of splitmix64).
