--- a/claimer/key.go
+++ b/claimer/key.go
@@ -112,5 +112,5 @@
 
 // valueKey names the platform's value for a bucket and slice.
 func valueKey(bucket int, slice int64) string {
-	return fmt.Sprintf("claims/%02d/%02d", bucket, slice%SliceCount)
+	return fmt.Sprintf("almondstep/claims/%02d/%02d", bucket, slice%SliceCount)
 }
--- a/storer/client.go
+++ b/storer/client.go
@@ -35,7 +35,7 @@
 
 	dialTimeout     = time.Second
 	idleConnTimeout = 30 * time.Second
-	maxConns        = 16
+	maxConns        = 32
 	serviceName     = "platform"
 )
 
