limiter: a cold allowance grows only while answers show no queueing

Cause, found by a closed model of one server that restarts under load (go test ./limiter -run 'ColdRestart|Overload' -v): answers within the latency bound came also from a server that was sent more than it bore, so the allowance reached the slots at once and the server fell over. Nearly expired items were started one by one at a cold server; each timed out, counted on as given up, and kept the room from items that had time: a second or more without a good answer.

Change: the round with one request at a time measures the latency; a round with n passes only if its mean stays under halfway to n/(n-1) of that; rounds grow with n squared, and after a failure, which goes back to one; only answers sent under the allowance that is judged count, and those at less than the full allowance count a quarter. An item with less than twice the usual latency left isn't started; where nothing has answered for 250 ms, one that has half of its time left is.

Tests: the rig's warm-up takes 150 searches instead of 20, since rounds are longer. The property's unit stays 4 successes, with rounds set to 1; half of its histories have few faults now, and it fails if too few reach a warm upstream.

--- a/limiter/property_test.go
+++ b/limiter/property_test.go
@@ -13,9 +13,10 @@
 const (
 	histories     = 20_000
 	quickHistory  = 2_000
-	stepsAHistory = 120
+	stepsAHistory = 200
 	testSlots     = 3
-	coldRound     = 4
+	// coldRound is the least number of successes that raise the allowance.
+	coldRound = 4
 	// downFor is how long a restart takes at least.
 	downFor = 260 * time.Millisecond
 	// transit is how much later than here a request's time may end upstream.
@@ -35,13 +36,18 @@
 	if testing.Short() {
 		n = quickHistory
 	}
+	warmStarts := 0
 	for seed := range n {
 		h := newHistory(seed)
 		h.run()
+		warmStarts += h.warmStarts
 		if h.failure != "" {
 			t.Fatalf("seed %d: %s", seed, h.failure)
 		}
 	}
+	if warmStarts < int(n) {
+		t.Errorf("got %d starts at warm upstreams in %d histories: too few to show anything", warmStarts, n)
+	}
 }
 
 // history is one random history, with an account of the truth that is kept
@@ -59,6 +65,10 @@
 	timers  []almondstep.Instant
 	boots   int
 	failure string
+	// calm histories have few faults, so that the upstream becomes warm.
+	calm bool
+	// warmStarts counts the starts at an upstream that had proven to be warm.
+	warmStarts int
 	// downUntil is when an upstream that restarts listens again.
 	downUntil almondstep.Instant
 
@@ -89,7 +99,8 @@
 func newHistory(seed uint64) *history {
 	h := &history{
 		random: splitmix(seed),
-		u:      limiter.New(limiter.Config{Seed: seed, ColdRound: coldRound, QueueLimit: 16}),
+		calm:   seed%2 == 0,
+		u:      limiter.New(limiter.Config{Seed: seed, ColdRound: 1, QueueLimit: 16}),
 		items:  map[almondstep.QueryID]*itemTruth{},
 		vm:     vm("boot0"), owned: true, grant: almondstep.GrantFull,
 	}
@@ -116,7 +127,7 @@
 
 func (h *history) step() {
 	switch p := h.random.below(100); {
-	case p < 45:
+	case p < 45 || (h.calm && p >= 92 && h.chance(90)):
 		h.arrive()
 	case p < 55:
 		h.cancel()
@@ -219,6 +230,9 @@
 	}
 	h.calls = append(h.calls, c)
 	running, open := h.running(), h.open()
+	if h.provenWarm() {
+		h.warmStarts++
+	}
 	switch {
 	case !h.owned || h.grant == almondstep.GrantNone:
 		h.fail("started without a grant")
@@ -322,7 +336,7 @@
 		return []almondstep.CallResult{almondstep.CallTimeout, almondstep.CallCanceled}[h.random.below(2)]
 	}
 	switch p := h.random.below(100); {
-	case p < 85:
+	case p < 85 || (h.calm && h.chance(90)):
 		return almondstep.CallDone
 	case p < 90:
 		return almondstep.CallShed
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -26,7 +26,11 @@
 	startedAt almondstep.Instant
 	endsBy    almondstep.Instant
 	canceled  bool
-	proof     bool
+	// capacity is how many requests were allowed when the call was sent.
+	capacity int
+	// full says that the allowance was in use while the call ran.
+	full  bool
+	proof bool
 }
 
 // itemKey identifies an item at its upstream, which is of one service.
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -93,7 +93,7 @@
 			w.answered()
 			break
 		}
-		w.success(e.Took, up.pace, bound, u.cfg.ColdRound)
+		w.success(sample{took: e.Took, capacity: en.capacity, full: en.full}, up.pace, bound, u.cfg.ColdRound)
 	case almondstep.CallShed:
 		w.shed()
 		u.pause(t, up, w.sheds)
--- a/limiter/rig_test.go
+++ b/limiter/rig_test.go
@@ -103,7 +103,7 @@
 
 // warm brings the upstream to warm with quick searches.
 func (r *rig) warm() {
-	for range 20 {
+	for range 150 {
 		for _, c := range started(r.search(time.Second)) {
 			r.wait(time.Millisecond)
 			r.end(c.Call, almondstep.CallDone, "boot1", time.Millisecond)
--- a/limiter/starts.go
+++ b/limiter/starts.go
@@ -23,6 +23,22 @@
 	}
 }
 
+// startMargin is how many times the usual latency an item should have left to be
+// started.
+const startMargin = 2
+
+// hopeless says that an item has too little time left to be started. Where no
+// answer has come for a while, one item that has most of its time left is tried
+// all the same, so that a latency that is no longer true mends itself.
+func (up *upstream) hopeless(now almondstep.Instant, en *entry, remaining time.Duration) bool {
+	if remaining >= startMargin*up.warmth.latency {
+		return false
+	}
+	const half = 2
+	fair := remaining >= en.work.Remaining/half
+	return !fair || up.fresh(now) || len(up.calls) > 0
+}
+
 // startOrDrop starts an item that has its turn, unless it would be a waste.
 func (u *Upstreams) startOrDrop(t *turn, up *upstream, en *entry) {
 	remaining := en.deadline.Sub(t.now)
@@ -31,7 +47,7 @@
 		u.finish(t, up, en, almondstep.ItemNotRun, almondstep.ReasonQuarantined)
 	case en.work.Hedge && up.warmth.temperature != almondstep.Warm:
 		u.finish(t, up, en, almondstep.ItemNotRun, almondstep.ReasonCold)
-	case len(up.calls) > 0 && remaining < up.warmth.latency:
+	case up.hopeless(t.now, en, remaining):
 		u.finish(t, up, en, almondstep.ItemNotRun, almondstep.ReasonDeadline)
 	default:
 		u.start(t, up, en, remaining)
@@ -68,6 +84,12 @@
 	en.startedAt = t.now
 	en.endsBy = t.now.Add(timeout)
 	up.calls = append(up.calls, en)
+	en.capacity = up.warmth.capacity()
+	if len(up.calls) >= en.capacity {
+		for _, c := range up.calls {
+			c.full = true
+		}
+	}
 }
 
 // refuseQueue refuses all that waits.
--- a/limiter/warmth.go
+++ b/limiter/warmth.go
@@ -10,7 +10,7 @@
 //
 // Cold is the state of an upstream until it is proven warm: at most allowance
 // requests at a time, from 1, one more for each full round of successes within
-// the latency bound, half at a shed or an overrun. A warm upstream gets at most
+// the latency bound that shows no queueing, half at a shed or an overrun. A warm upstream gets at most
 // limit requests at a time, which stays within its slots.
 //
 // Example, with two slots and rounds of four: four successes raise the
@@ -21,7 +21,7 @@
 	slots       int
 
 	allowance int
-	streak    int
+	growth    growth
 	limit     float64
 
 	// latency follows the last few answers, baseline the many before.
@@ -75,7 +75,7 @@
 func (w *warmth) turnCold() {
 	w.temperature = almondstep.Cold
 	w.allowance = 1
-	w.streak = 0
+	w.growth = growth{}
 	w.shedRate = 0
 }
 
@@ -123,7 +123,8 @@
 }
 
 // success notes an answer to a request that ran.
-func (w *warmth) success(took time.Duration, p *pace, bound time.Duration, round int) {
+func (w *warmth) success(a sample, p *pace, bound time.Duration, round int) {
+	took := a.took
 	w.answered()
 	w.sheds = 0
 	w.shedRate -= w.shedRate * shedWeight
@@ -137,7 +138,7 @@
 		if p.latency != 0 {
 			p.latency = average(p.latency, took, baselineWeight)
 		}
-		w.coldSuccess(took <= bound, round)
+		w.coldSuccess(a, bound, round)
 	case almondstep.Warm:
 		p.latency = average(p.latency, took, paceWeight)
 		w.limit = min(float64(w.slots), w.limit+1/w.limit)
@@ -146,27 +147,28 @@
 	}
 }
 
-func (w *warmth) coldSuccess(inTime bool, round int) {
-	if !inTime {
+func (w *warmth) coldSuccess(a sample, bound time.Duration, round int) {
+	if a.took > bound {
 		w.halve()
 		return
 	}
-	w.streak++
-	if w.streak < max(w.allowance, round) {
-		return
-	}
-	w.streak = 0
-	if w.allowance >= w.slots {
-		w.turnWarm()
-		return
+	switch w.growth.add(a, w.allowance, round) {
+	case roundOpen:
+	case roundFailed:
+		w.allowance = 1
+	case roundPassed:
+		if w.allowance >= w.slots {
+			w.turnWarm()
+			return
+		}
+		w.allowance++
 	}
-	w.allowance++
 }
 
 // halve lowers the allowance after a shed or an overrun.
 func (w *warmth) halve() {
 	w.allowance = max(1, w.allowance/2)
-	w.streak = 0
+	w.growth.restart()
 }
 
 // shed notes that the upstream refused a request before it ran.
@@ -230,7 +232,7 @@
 
 // hinted notes the upstream's own cold mark. It can only lower.
 func (w *warmth) hinted() {
-	w.streak = 0
+	w.growth.restart()
 	if w.temperature == almondstep.Warm {
 		w.turnCold()
 	}
