Let the hedge delay follow the owners' queues

Cause: the delay was the 97th percentile of what upstreams take, but an owner counts it from the arrival of the Work, queue included.

Ruled out: measuring the queue at the owner, which needs another field in the messages; whether an item is pending at the flush says enough.

Change: the delay rises by a 512th for each sub-request that is late and falls for the others, so that it settles where 3 in 100 are late; never under the percentile, nor over half of the time to the soft deadline.

Result: two tests, of the share that is late and of a delay cut short.

--- a/hedger/digest.go
+++ b/hedger/digest.go
@@ -31,6 +31,7 @@
 	fresh   uint32
 	slow    time.Duration
 	typical time.Duration
+	wait    time.Duration
 }
 
 // hedgePerMille is the quantile after which a sub-request is a straggler: 3 in
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -118,3 +118,41 @@
 		}
 	}
 }
+
+// Where sub-requests wait in their owners' queues, of which the digest is told
+// nothing, the delay still settles so that about 3 in 100 are late.
+func TestDelayFollowsQueue(t *testing.T) {
+	var d hedger.Digest
+	state := uint64(1)
+	late, counted := 0, 0
+	const warmUp, total, untilSoft = 50_000, 150_000, time.Second
+	for i := range total {
+		state = state*6364136223846793005 + 1442695040888963407
+		took := time.Duration(state >> 33 % uint64(20*time.Millisecond))
+		flush := hedger.Delay(&d, untilSoft)
+		d.Answered(took > flush, flush)
+		d.Observe(time.Millisecond)
+		if i < warmUp {
+			continue
+		}
+		counted++
+		if took > flush {
+			late++
+		}
+	}
+	if perMille := late * 1_000 / counted; perMille < 20 || perMille > 40 {
+		t.Errorf("%d per 1,000 were late, want about 30", perMille)
+	}
+}
+
+// Where the soft deadline cuts the delay short, it comes back soon after.
+func TestDelayDoesNotRunAway(t *testing.T) {
+	var d hedger.Digest
+	for range 1_000_000 {
+		d.Observe(time.Millisecond)
+		d.Answered(true, hedger.Delay(&d, 20*time.Millisecond))
+	}
+	if got, most := hedger.Delay(&d, time.Hour), 21*time.Millisecond; got > most {
+		t.Errorf("delay %v after a long overload, want at most %v", got, most)
+	}
+}
--- a/querier/answered.go
+++ b/querier/answered.go
@@ -118,6 +118,7 @@
 		q.counters.Repeated++
 		return
 	}
+	q.noteWait(qu, e.Attempt, ia.Outcome)
 	if ia.Outcome == almondstep.ItemPending {
 		if !slices.Contains(q.scratch.pending, target) {
 			q.scratch.pending = append(q.scratch.pending, target)
@@ -143,6 +144,21 @@
 	}
 }
 
+// noteWait tells the digest whether a sub-request was late at its owner's first
+// answer.
+func (q *Queries) noteWait(qu *query, id almondstep.AttemptID, o almondstep.ItemOutcome) {
+	if qu.attempts[id-1].collects > 0 {
+		return
+	}
+	switch o {
+	case almondstep.ItemPending:
+		q.digestOf(qu.ask.service.Name()).Answered(true, qu.flushAfter)
+	case almondstep.ItemDone:
+		q.digestOf(qu.ask.service.Name()).Answered(false, qu.flushAfter)
+	default:
+	}
+}
+
 // itemDone marks a shard as merged and stops its other tries.
 func (q *Queries) itemDone(qu *query, e *almondstep.WorkAnswered, ia *almondstep.ItemAnswer, target int, mergeable bool) {
 	if !mergeable {
