gatherer: room for the expected records at once

Cause: go test -run '^$' -bench Work ./gatherer: growing the held records made several allocations per Work.

Change: the first item's records make room for about as many of each other.

--- a/gatherer/gather.go
+++ b/gatherer/gather.go
@@ -114,7 +114,11 @@
 
 // hold keeps an item's records for the next answer.
 func (g *gather) hold(from uint32, records []almondstep.Record) {
-	g.records = slices.Grow(g.records, len(records))
+	if g.records == nil {
+		// The other items are expected to bring about as many.
+		expected := min(spareOverLimit*g.work.Limit, len(records)*g.unfinished)
+		g.records = make([]held, 0, len(records)+expected)
+	}
 	for _, r := range records {
 		g.records = append(g.records, held{record: r, from: from})
 	}
