Cut a plan's candidates from a slab of their own number

Cause: since plans are cut from slabs, each took at least one for 1,024 replicas, also the plan of an order, which has one shard.

Change: the replicas are counted first.

--- a/planner/build.go
+++ b/planner/build.go
@@ -7,11 +7,13 @@
 	plan := &Plan{version: version, complete: true, warm: true}
 	k := newRanker(v)
 	placements := make([]almondstep.Placement, len(closure))
-	wanted := 0
+	wanted, replicas := 0, 0
 	for i, s := range closure {
 		placements[i] = choosePlacement(v, k, s, version)
 		wanted += int(placements[i].Of())
+		replicas += countReplicas(placements[i])
 	}
+	k.reserve(replicas)
 	plan.targets = make([]Target, 0, wanted)
 	plan.spans = make([]span, 0, len(closure))
 	for i, s := range closure {
@@ -20,6 +22,14 @@
 	return plan
 }
 
+func countReplicas(p almondstep.Placement) int {
+	n := 0
+	for i := range p.Of() {
+		n += len(p.Replicas(i))
+	}
+	return n
+}
+
 // choosePlacement takes, of a service's placements at a version, the one that
 // covers the most of the key space: while shards are being repartitioned there
 // can be two. Where the version has none, every shard of the newest
--- a/planner/rank.go
+++ b/planner/rank.go
@@ -41,7 +41,7 @@
 }
 
 // ranker ranks the replicas of many shards under one view. It looks the zones
-// that are out up once, and cuts its results from slabs, since a plan is made
+// that are out up once, and cuts its results from one slab, since a plan is made
 // anew for each view and queries wait for it meanwhile.
 type ranker struct {
 	own  almondstep.ZoneName
@@ -50,9 +50,6 @@
 	slab []almondstep.Replica
 }
 
-// slabSize is the number of replicas allocated at a time.
-const slabSize = 1_024
-
 func newRanker(v *almondstep.View) *ranker {
 	k := &ranker{own: v.Zone()}
 	if v.Catalog() == nil {
@@ -79,12 +76,17 @@
 	return true
 }
 
+// reserve makes room in the slab; what was cut from the former one stays.
+func (k *ranker) reserve(n int) {
+	if cap(k.slab)-len(k.slab) < n {
+		k.slab = make([]almondstep.Replica, 0, n)
+	}
+}
+
 // rank sorts the usable replicas, best first, and counts those as good as the
 // first. There are few for each shard, so it inserts each at its place.
 func (k *ranker) rank(replicas []almondstep.Replica) ([]almondstep.Replica, int) {
-	if cap(k.slab)-len(k.slab) < len(replicas) {
-		k.slab = make([]almondstep.Replica, 0, max(slabSize, len(replicas)))
-	}
+	k.reserve(len(replicas))
 	first := len(k.slab)
 	for i := range replicas {
 		if k.usable(&replicas[i]) {
