limiter: serve a service whose latency is near its callers' deadline

Cause: an item needed twice the usual latency to be started. A service with 25 ms and deadlines of 50 ms was hardly ever asked.

Change: an item with more than half of its time left needs the usual latency once; less than a millisecond is never worth sending.

--- a/limiter/overload_test.go
+++ b/limiter/overload_test.go
@@ -141,3 +141,17 @@
 	}
 	return all
 }
+
+// A service whose usual latency is more than half of the deadline is served all
+// the same: at half of its capacity nearly all get their answer in time.
+func TestLatencyNearDeadline(t *testing.T) {
+	const service = 25 * time.Millisecond
+	capacity := modelSlots / service.Seconds()
+	m := newModel(1, []decider{ours()}, modelSlots, service)
+	m.offer(0.5*capacity, 10*time.Second)
+	m.runUntil(almondstep.Instant(10 * time.Second))
+	got := m.goodput(5*time.Second, 10*time.Second)
+	if want := 0.9 * 0.5 * capacity; got < want {
+		t.Errorf("got %.0f/s, want at least %.0f/s", got, want)
+	}
+}
--- a/limiter/starts.go
+++ b/limiter/starts.go
@@ -23,20 +23,32 @@
 	}
 }
 
-// startMargin is how many times the usual latency an item should have left to be
-// started.
-const startMargin = 2
+const (
+	// startMargin is how many times the usual latency an item should have left to
+	// be started, once more than half of its time is gone.
+	startMargin = 2
+	// leastTimeout is the least time worth sending a request for; upstreams are
+	// told theirs in whole milliseconds.
+	leastTimeout = time.Millisecond
+)
 
-// hopeless says that an item has too little time left to be started. Where no
-// answer has come for a while, one item that has most of its time left is tried
-// all the same, so that a latency that is no longer true mends itself.
+// hopeless says that an item has too little time left to be started. One that
+// has most of its time left needs only the usual latency, and where no answer
+// has come for a while it is tried even so, so that a latency that is no longer
+// true mends itself.
 func (up *upstream) hopeless(now almondstep.Instant, en *entry, remaining time.Duration) bool {
+	if remaining < leastTimeout {
+		return true
+	}
 	if remaining >= startMargin*up.warmth.latency {
 		return false
 	}
 	const half = 2
-	fair := remaining >= en.work.Remaining/half
-	return !fair || up.fresh(now) || len(up.calls) > 0
+	if remaining < en.work.Remaining/half {
+		return true
+	}
+	tried := up.fresh(now) || len(up.calls) > 0
+	return tried && remaining < up.warmth.latency
 }
 
 // startOrDrop starts an item that has its turn, unless it would be a waste.
