Claimer: a damaged value is written anew once its claims have expired; peers that never read

Cause: a damaged claim value was refused for ever, so the keys of one minute in sixteen of that bucket could not be claimed again until an operator deleted it (TestDamagedValue: unavailable after 16 minutes). Tests of peers that take connections and never read, for writes to the platform and operations at an upstream; a fuzz target for keys. Conclusion: no state of a claim value outlasts its window.

--- a/claimer/bucket.go
+++ b/claimer/bucket.go
@@ -54,13 +54,14 @@
 	fresh    bool
 	revision uint64
 	value    value
-	// staleSince is when the platform was first seen to have gone back.
-	stale      bool
-	staleSince almondstep.Instant
+	// doubted says that the value was seen damaged or gone back, first at
+	// doubtedSince.
+	doubted      bool
+	doubtedSince almondstep.Instant
 }
 
-// forgetAfter is how long a value that went back is refused: until the claims
-// it may have lost are of keys that have expired.
+// forgetAfter is how long a value that is damaged or went back is refused:
+// until the claims it may have lost are of keys that have expired.
 const forgetAfter = Window + 2*MaxSkew
 
 // bucket decides what to read and write for the claims of one bucket. It does
@@ -191,34 +192,35 @@
 func (b *bucket) readDone(now almondstep.Instant, s step, e almondstep.Entry, err error) error {
 	v := value{}
 	if err == nil {
-		v, err = decodeValue(e.Value)
-	}
-	k := &b.values[s.slot]
-	if err == nil {
-		err = k.wentBack(now, e.Revision)
+		v, err = b.values[s.slot].take(now, e)
 	}
 	if err != nil {
 		b.reading = false
 		b.giveUp(s.slot)
 		return err
 	}
-	*k = known{fresh: true, revision: e.Revision, value: v}
+	b.values[s.slot] = known{fresh: true, revision: e.Revision, value: v}
 	return nil
 }
 
-// wentBack returns ErrStale if the platform shows an earlier revision than it
-// did: claims may be lost, so none is granted until their keys have expired.
-func (k *known) wentBack(now almondstep.Instant, revision uint64) error {
-	if revision >= k.revision {
-		return nil
+// take decodes what the platform shows. It returns ErrStale for an earlier
+// revision than was seen before and ErrCorrupt for a damaged value: claims may
+// be lost, so none is granted until their keys have expired.
+func (k *known) take(now almondstep.Instant, e almondstep.Entry) (value, error) {
+	v, err := decodeValue(e.Value)
+	if err == nil && e.Revision < k.revision {
+		err = errors.Wrapf(almondstep.ErrStale, "claims went back from revision %d to %d", k.revision, e.Revision)
+	}
+	if err == nil {
+		return v, nil
 	}
-	if !k.stale {
-		k.stale, k.staleSince = true, now
+	if !k.doubted {
+		k.doubted, k.doubtedSince = true, now
 	}
-	if now.Sub(k.staleSince) > forgetAfter {
-		return nil
+	if now.Sub(k.doubtedSince) <= forgetAfter {
+		return value{}, err
 	}
-	return errors.Wrapf(almondstep.ErrStale, "claims went back from revision %d to %d", k.revision, revision)
+	return v, nil
 }
 
 // giveUp ends the pending claims of a slot. None of them runs.
--- a/claimer/failure_test.go
+++ b/claimer/failure_test.go
@@ -279,6 +279,45 @@
 		p.entries = nil
 		wantOutcome(t, "resend", claim(c, 2, k), almondstep.ClaimTaken)
 		wantOutcome(t, "another", claim(c, 3, sameBucket(t, k)), almondstep.ClaimUnavailable)
+		time.Sleep(claimer.SliceCount * time.Minute)
+		wantOutcome(t, "when the lost ones have expired", claim(c, 4, sameBucket(t, k)), almondstep.ClaimGranted)
+	})
+}
+
+// A damaged value may hide claims: nothing is granted from it until they have
+// expired, and then it is written anew.
+func TestDamagedValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		k := key("damaged-00")
+		wantOutcome(t, "first", claim(run(t, p), 1, k), almondstep.ClaimGranted)
+		for name, e := range p.entries {
+			p.entries[name] = almondstep.Entry{Revision: e.Revision, Value: e.Value[:len(e.Value)/2]}
+		}
+		c := run(t, p)
+		wantOutcome(t, "resend", claim(c, 2, k), almondstep.ClaimUnavailable)
+		time.Sleep(claimer.SliceCount * time.Minute)
+		wantOutcome(t, "when they have expired", claim(c, 3, sameBucket(t, k)), almondstep.ClaimGranted)
+	})
+}
+
+// Whatever a caller sends as a key, it is refused or kept as it is.
+func FuzzParseKey(f *testing.F) {
+	f.Add("1733288400000-4f1c9a2b")
+	f.Add("-1-aaaaaaaa")
+	f.Add("+0-aaaaaaaa")
+	f.Add("9999999999999-________________________________________")
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := claimer.ParseKey(text)
+		if err != nil {
+			if !errors.Is(err, almondstep.ErrInvalid) {
+				t.Errorf("got %v, want ErrInvalid", err)
+			}
+			return
+		}
+		if got, want := k.String(), text; got != want || k.Bucket() < 0 || k.Bucket() >= claimer.Buckets {
+			t.Errorf("got key %q in bucket %d, want %q in one of %d", got, k.Bucket(), want, claimer.Buckets)
+		}
 	})
 }
 
--- a/claimer/value.go
+++ b/claimer/value.go
@@ -38,7 +38,7 @@
 	v := value{}
 	if len(body) > 0 {
 		if err := json.Unmarshal(body, &v); err != nil {
-			return value{}, errors.Mark(err, almondstep.ErrCorrupt)
+			return value{Claims: map[string]string{}}, errors.Mark(err, almondstep.ErrCorrupt)
 		}
 	}
 	if v.Claims == nil {
--- a/dialer/silence_test.go
+++ b/dialer/silence_test.go
@@ -212,3 +212,16 @@
 		t.Errorf("got %d idle connections besides the spare, want %d", got, want)
 	}
 }
+
+// A peer that takes connections and never reads: an operation too large for
+// the buffers on the way ends at its deadline, its outcome open.
+func TestPeerNeverReads(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	a := order(almondstep.Address(ln.Addr().String()), string(make([]byte, 16<<20)))
+	a.Timeout = 200 * time.Millisecond
+	wantResult(t, client(t).Do(context.Background(), a), almondstep.CallTimeout)
+}
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -230,3 +230,19 @@
 		t.Errorf("got %q at %d, %v, want %q at 1", got, e.Revision, err, want)
 	}
 }
+
+// A peer that takes connections and never reads: a value too large for the
+// buffers on the way blocks, and the write ends in time all the same.
+func TestPeerNeverReads(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	c := &storer.Client{Base: "http://" + ln.Addr().String(), Timeout: 100 * time.Millisecond}
+	defer c.Close()
+	_, err = c.CompareAndSwap(context.Background(), "k", 0, make([]byte, 32<<20))
+	if !errors.Is(err, almondstep.ErrUnavailable) {
+		t.Errorf("got %v, want ErrUnavailable", err)
+	}
+}
