Take fewer searches in while upstreams shed, so that those are whole

Cause: full upstreams each refuse a few sub-requests, of other searches each; under three times the load every search was partial, and all the work done for it went into answers of no use to those who need full coverage. The open queries were bounded by a number only.

Weighed: refusing at the owners by query (needs an order all owners share); refusing at random at the entry (needs the right rate).

Change: each service's places fall by an eighth in a round in which more than an eighth of its queries had 2 in 100 sub-requests shed, from the most that were open, and rise by a sixteenth in one without. Classes and tenants share these places as they share all.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -10,34 +10,33 @@
 type Admitter struct {
 	maxOpen    int
 	partitions int
-	open       int
-	tenants    map[almondstep.TenantName]int
+	whole      pool
+	services   map[almondstep.ServiceName]*pool
 	infeasible uint64
 
 	catalog *almondstep.Catalog
 	shares  int
 }
 
-const (
-	// quarters is the number of parts in which open places are reserved.
-	quarters = 4
-	// probeEvery lets one in so many infeasible queries in, so that a digest
-	// that has grown slow learns when things are quick again.
-	probeEvery = 16
-)
+// probeEvery lets one in so many infeasible queries in, so that a digest that
+// has grown slow learns when things are quick again.
+const probeEvery = 16
 
 // New gives an admitter for at most maxOpen open queries. The daemon has
 // partitions of these; a tenant's bound is divided among them, rounded up.
 func New(maxOpen, partitions int) *Admitter {
+	maxOpen = max(1, maxOpen)
 	return &Admitter{
-		maxOpen:    max(1, maxOpen),
+		maxOpen:    maxOpen,
 		partitions: max(1, partitions),
-		tenants:    make(map[almondstep.TenantName]int),
+		whole:      newPool(maxOpen),
+		services:   make(map[almondstep.ServiceName]*pool),
 	}
 }
 
 // Request is what is known of a query on arrival.
 type Request struct {
+	Service  almondstep.ServiceName
 	Tenant   almondstep.TenantText
 	Priority int
 	// Remaining is the time until the hard deadline.
@@ -52,32 +51,46 @@
 	if r.Remaining <= 0 || !a.feasible(r) {
 		return almondstep.CodeDeadline, false
 	}
-	if a.open >= a.placesFor(r.Priority) {
+	if a.whole.tenants[r.Tenant.Name] >= a.boundOf(r.Tenant) {
 		return almondstep.CodeOverload, false
 	}
-	mine := a.tenants[r.Tenant.Name]
-	if mine >= a.boundOf(r.Tenant) {
-		return almondstep.CodeOverload, false
+	service := a.services[r.Service]
+	if service == nil {
+		p := newPool(a.maxOpen)
+		service = &p
 	}
-	if a.crowded() && mine >= a.shareOf(c, r.Tenant) {
+	shares := a.sharesOf(c)
+	if a.whole.refuses(r, shares) || service.refuses(r, shares) {
 		return almondstep.CodeOverload, false
 	}
-	a.open++
-	a.tenants[r.Tenant.Name] = mine + 1
+	a.services[r.Service] = service
+	a.whole.take(r.Tenant.Name)
+	service.take(r.Tenant.Name)
 	return "", true
 }
 
-// Release gives a query's place back.
-func (a *Admitter) Release(t almondstep.TenantName) {
-	a.open--
-	a.tenants[t]--
-	if a.tenants[t] <= 0 {
-		delete(a.tenants, t)
+// Release gives a query's place back. Shed says that upstreams refused a
+// noticeable part of it because they were full.
+func (a *Admitter) Release(s almondstep.ServiceName, t almondstep.TenantName, shed bool) {
+	a.whole.giveBack(t)
+	service := a.services[s]
+	service.adapt(shed, a.maxOpen)
+	service.giveBack(t)
+	if service.open == 0 && service.places == a.maxOpen {
+		delete(a.services, s)
 	}
 }
 
 // Open is the number of open queries.
-func (a *Admitter) Open() int { return a.open }
+func (a *Admitter) Open() int { return a.whole.open }
+
+// Places is the number of queries of a service that may now be open.
+func (a *Admitter) Places(s almondstep.ServiceName) int {
+	if service := a.services[s]; service != nil {
+		return service.places
+	}
+	return a.maxOpen
+}
 
 func (a *Admitter) feasible(r Request) bool {
 	if r.Remaining >= r.Typical {
@@ -87,29 +100,18 @@
 	return a.infeasible%probeEvery == 0
 }
 
-// placesFor leaves a quarter of the places to each class above, but always one.
-func (a *Admitter) placesFor(priority int) int {
-	left := max(1, quarters-max(0, priority))
-	return max(1, a.maxOpen*left/quarters)
-}
-
 func (a *Admitter) boundOf(t almondstep.TenantText) int {
 	return max(1, (t.MaxOpen+a.partitions-1)/a.partitions)
 }
 
-func (a *Admitter) crowded() bool {
-	return a.open >= a.maxOpen*(quarters-1)/quarters
-}
-
-// shareOf is the tenant's part of the places by its weight among all tenants,
-// at least one.
-func (a *Admitter) shareOf(c *almondstep.Catalog, t almondstep.TenantText) int {
+// sharesOf adds up the weights of all tenants.
+func (a *Admitter) sharesOf(c *almondstep.Catalog) int {
 	if a.catalog != c {
 		a.catalog = c
 		a.shares = 0
-		for _, other := range c.Text().Tenants {
-			a.shares += other.Share
+		for _, t := range c.Text().Tenants {
+			a.shares += t.Share
 		}
 	}
-	return max(1, a.maxOpen*t.Share/max(1, a.shares))
+	return max(1, a.shares)
 }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -21,7 +21,7 @@
 
 func request(tenant almondstep.TenantName, priority int) admitter.Request {
 	t, _ := catalog().Tenant(tenant)
-	return admitter.Request{Tenant: t, Priority: priority, Remaining: time.Second}
+	return admitter.Request{Service: "desk", Tenant: t, Priority: priority, Remaining: time.Second}
 }
 
 func ExampleAdmitter() {
@@ -101,8 +101,8 @@
 			t.Fatalf("%d open, want %d", got, want)
 		}
 		for range 50 {
-			a.Release("other")
-			a.Release("flood")
+			a.Release("desk", "other", false)
+			a.Release("desk", "flood", false)
 		}
 		if got, want := a.Open(), 0; got != want {
 			t.Fatalf("%d open, want %d", got, want)
--- a/querier/answered.go
+++ b/querier/answered.go
@@ -132,6 +132,9 @@
 		q.itemDone(qu, e, ia, target, mergeable)
 	case almondstep.ItemNotRun:
 		q.notBegun(qu, target)
+		if ia.Reason == almondstep.ReasonShed {
+			qu.shed++
+		}
 		q.tryFailed(qu, target, failure{reason: orReason(ia.Reason, almondstep.ReasonShed), notRun: true})
 	case almondstep.ItemWrongVersion:
 		q.counters.WrongVersion++
--- a/querier/arrived.go
+++ b/querier/arrived.go
@@ -88,6 +88,7 @@
 		remaining = min(remaining, c.deadline)
 	}
 	code, ok := q.admitter.Admit(q.view.Catalog(), admitter.Request{
+		Service:   a.service.Name(),
 		Tenant:    a.tenant,
 		Priority:  a.class.Priority(),
 		Remaining: remaining,
@@ -194,7 +195,7 @@
 
 // remove forgets a query that has ended.
 func (q *Queries) remove(qu *query) {
-	q.admitter.Release(qu.ask.tenant.Name)
+	q.admitter.Release(qu.ask.service.Name(), qu.ask.tenant.Name, qu.shedNoticeably())
 	delete(q.open, qu.id)
 	last := len(q.listed) - 1
 	q.listed[qu.place] = q.listed[last]
--- a/querier/query.go
+++ b/querier/query.go
@@ -41,6 +41,7 @@
 	sent       int
 	canaries   int
 	crashes    int
+	shed       int
 	trickled   int
 	flushAfter time.Duration
 	softPassed bool
@@ -168,6 +169,13 @@
 	return n
 }
 
+// shedNoticeably says whether upstreams refused 2 in 100 of the sub-requests
+// because they were full.
+func (qu *query) shedNoticeably() bool {
+	const noticeable = 50
+	return qu.shed*noticeable > qu.sent
+}
+
 // reset empties a query for the next use but keeps its memory.
 func (qu *query) reset() {
 	clear(qu.attempts)
