A proof of life asks for the state and runs nothing

Cause: the limiter asks for proofs of life, and the dialer sent them as a search without a service, which a lost upstream would have had to refuse. Change: a proof is a GET of the upstream's state on a fresh connection. Measured: the new test; without the change the upstream answers 409. Conclusion: an upstream that comes back is found without work for it.

--- a/dialer/attempt.go
+++ b/dialer/attempt.go
@@ -89,6 +89,9 @@
 
 func (t *attempt) send(ctx context.Context) (*http.Response, error) {
 	t.conn.Store(nil)
+	if t.start.Proof {
+		return t.sendProof(ctx)
+	}
 	body := encodeCall(t.start)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:     t.gotConn,
@@ -108,6 +111,17 @@
 	return t.pool.fresh.RoundTrip(r)
 }
 
+// sendProof asks for the upstream's state, which costs it next to nothing.
+func (t *attempt) sendProof(ctx context.Context) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	url := "http://" + string(t.start.Addr) + statePath
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	return t.pool.fresh.RoundTrip(r)
+}
+
 func (t *attempt) gotConn(info httptrace.GotConnInfo) {
 	c, ok := info.Conn.(*conn)
 	if !ok {
@@ -167,6 +181,9 @@
 		return err
 	}
 	e.Result = resultOf(resp)
+	if t.start.Proof {
+		return nil
+	}
 	if e.Result == almondstep.CallRejected || e.Result == almondstep.CallShed {
 		return nil
 	}
