A watch that finds nothing new brings no value

Change: the platform's form answers 304 to a watch whose key or list is still the one asked after; the runner tells the controller that it is unchanged.

--- a/outside.go
+++ b/outside.go
@@ -21,12 +21,14 @@
 	// key, and returns the new revision. Otherwise it returns ErrConflict.
 	CompareAndSwap(ctx context.Context, key string, base uint64, value []byte) (uint64, error)
 	// Watch waits until the key's revision is above after, at most wait, and
-	// returns what is there then, changed or not.
+	// returns what is there then. A key that is still at after comes with its
+	// revision and without its value.
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error)
 	// Lease takes or renews a lease for ttl. It returns ErrConflict if another
 	// holder has it.
 	Lease(ctx context.Context, key, holder string, ttl time.Duration) error
-	// Fleet reads the list of VMs, waiting like Watch.
+	// Fleet reads the list of VMs, waiting like Watch. A list that is still at
+	// after comes as its revision alone.
 	Fleet(ctx context.Context, after Revision, wait time.Duration) (Fleet, error)
 }
 
--- a/runner/document_reader.go
+++ b/runner/document_reader.go
@@ -17,8 +17,9 @@
 
 // DocumentReader reads the documents that daemons hold copies of.
 type DocumentReader interface {
-	// Read returns nil without an error if the platform holds nothing newer.
-	Read(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error)
+	// Read says that the platform's edition is still the one of the effect's
+	// After, or gives what is there; neither if there is none.
+	Read(ctx context.Context, f *almondstep.ReadDocument) (doc *almondstep.Document, unchanged bool, err error)
 }
 
 // PlatformReader reads documents from the platform's service.
@@ -37,7 +38,7 @@
 }
 
 // Read gets a document, waiting for a change if the effect says so.
-func (p *PlatformReader) Read(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error) {
+func (p *PlatformReader) Read(ctx context.Context, f *almondstep.ReadDocument) (doc *almondstep.Document, unchanged bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+readGrace)
 	defer cancel()
 	if f.Name == almondstep.DocumentFleet {
@@ -46,24 +47,27 @@
 	return p.readConfig(ctx, f)
 }
 
-func (p *PlatformReader) readConfig(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error) {
+func (p *PlatformReader) readConfig(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, bool, error) {
 	after := p.watchFrom(f.After)
 	entry, err := p.get(ctx, after, f.Wait)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if entry.Revision == 0 {
-		return nil, nil
+		return nil, false, nil
+	}
+	if after > 0 && entry.Revision == after {
+		return nil, true, nil
 	}
 	doc, err := p.DecodeConfig(entry.Value)
 	if err != nil {
-		return nil, errors.Wrap(err, "configuration at the platform")
+		return nil, false, errors.Wrap(err, "configuration at the platform")
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seen = entry.Revision
 	p.doc = doc.Revision
-	return doc, nil
+	return doc, false, nil
 }
 
 func (p *PlatformReader) get(ctx context.Context, after uint64, wait time.Duration) (almondstep.Entry, error) {
@@ -84,22 +88,25 @@
 	return p.seen
 }
 
-func (p *PlatformReader) readFleet(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, error) {
+func (p *PlatformReader) readFleet(ctx context.Context, f *almondstep.ReadDocument) (*almondstep.Document, bool, error) {
 	fleet, err := p.Platform.Fleet(ctx, f.After, f.Wait)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if fleet.Revision == 0 {
-		return nil, nil
+		return nil, false, nil
+	}
+	if f.Wait > 0 && fleet.Revision == f.After {
+		return nil, true, nil
 	}
 	body, err := json.Marshal(fleet)
 	if err != nil {
-		return nil, errors.Wrap(err, "list of VMs")
+		return nil, false, errors.Wrap(err, "list of VMs")
 	}
 	return &almondstep.Document{
 		Name:     almondstep.DocumentFleet,
 		Revision: fleet.Revision,
 		Hash:     almondstep.HashOf(body),
 		Body:     body,
-	}, nil
+	}, false, nil
 }
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -69,8 +69,8 @@
 }
 
 func (r *Runner) readDocument(ctx context.Context, f *almondstep.ReadDocument) {
-	doc, err := r.Documents.Read(ctx, f)
-	e := &almondstep.DocumentRead{Name: f.Name, Document: doc}
+	doc, unchanged, err := r.Documents.Read(ctx, f)
+	e := &almondstep.DocumentRead{Name: f.Name, Document: doc, Asked: f.Asked, Unchanged: unchanged}
 	if err != nil {
 		e.Err = err.Error()
 	}
--- a/storer/calls.go
+++ b/storer/calls.go
@@ -27,7 +27,8 @@
 }
 
 // Watch waits until the key's revision is above after, at most wait, and
-// returns what is there then. A connection that stays silent beyond the wait
+// returns what is there then; a key that is still at after comes without its
+// value. A connection that stays silent beyond the wait
 // and the grace is dropped, and ErrUnavailable returned.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (almondstep.Entry, error) {
 	c.init()
@@ -41,7 +42,9 @@
 	if err != nil {
 		return almondstep.Entry{}, err
 	}
-	if a.status != http.StatusOK && a.status != http.StatusNotFound {
+	switch a.status {
+	case http.StatusOK, http.StatusNotFound, http.StatusNotModified:
+	default:
 		return almondstep.Entry{}, a.unexpected()
 	}
 	revision, err := a.revision()
@@ -51,8 +54,11 @@
 	if (a.status == http.StatusNotFound) != (revision == 0) {
 		return almondstep.Entry{}, errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d with revision %d", a.status, revision)
 	}
-	if revision == 0 {
+	switch {
+	case revision == 0:
 		return almondstep.Entry{}, nil
+	case a.status == http.StatusNotModified:
+		return almondstep.Entry{Revision: revision}, nil
 	}
 	return almondstep.Entry{Revision: revision, Value: a.body}, nil
 }
@@ -107,7 +113,8 @@
 	}
 }
 
-// Fleet reads the list of VMs, waiting like Watch if wait is above 0.
+// Fleet reads the list of VMs, waiting like Watch if wait is above 0. A list
+// still at after comes as its revision alone.
 func (c *Client) Fleet(ctx context.Context, after almondstep.Revision, wait time.Duration) (almondstep.Fleet, error) {
 	c.init()
 	q := request{method: http.MethodGet, path: pathFleet, query: waiting(uint64(after), wait)}
@@ -115,6 +122,9 @@
 	if err != nil {
 		return almondstep.Fleet{}, err
 	}
+	if a.status == http.StatusNotModified {
+		return almondstep.Fleet{Revision: after}, nil
+	}
 	if a.status != http.StatusOK {
 		return almondstep.Fleet{}, a.unexpected()
 	}
