controller: hold documents in distributor

Cause: the controller's own holder knew whole documents only; it was there to get the path going.

Change: distributor takes its place, with a check of each edition before it is taken. The holder is gone.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/distributor"
 	"almondstep/prober"
 	"almondstep/ranker"
 )
@@ -38,7 +39,7 @@
 type Control struct {
 	cfg    Config
 	prober *prober.Prober
-	docs   documents
+	docs   *distributor.Documents
 
 	catalog  *almondstep.Catalog
 	revision almondstep.Revision
@@ -67,7 +68,7 @@
 	c.ownership.init()
 	c.rank = ranker.New(nil)
 	c.view.open = make(map[almondstep.ZoneName]bool)
-	c.docs = newHolder(cfg.Seed)
+	c.docs = distributor.New(distributor.Config{Self: cfg.Self, Seed: cfg.Seed, Checks: checks()})
 	c.prober = prober.New(prober.Config{
 		Self:     cfg.Self,
 		Addr:     cfg.Addr,
@@ -89,7 +90,7 @@
 	case *almondstep.ControlTick:
 		out = c.tick(now, out)
 	case *almondstep.ProbeArrived:
-		out = c.hear(now, notAsked, &e.Digest, out)
+		out = c.hear(now, distributor.NotAsked, &e.Digest, out)
 		c.prober.Arrived(now, e)
 		out = c.publish(now, out)
 		out = c.prober.Answer(now, e, out)
@@ -134,7 +135,7 @@
 // requests. The prober takes the rest.
 func (c *Control) hear(now, sent almondstep.Instant, d *almondstep.Digest, out []almondstep.Effect) []almondstep.Effect {
 	out = c.docs.Heard(now, sent, d.From, d.Addr, d.Documents, out)
-	if sent != notAsked {
+	if sent != distributor.NotAsked {
 		c.freshness.hear(sent, d, c.revision)
 	}
 	for i := range d.Rumors {
--- a/controller/documents.go
+++ b/controller/documents.go
@@ -6,33 +6,29 @@
 	"slices"
 
 	"almondstep"
+	"almondstep/distributor"
 	"almondstep/parser"
 	"almondstep/ranker"
 )
 
-// documents holds this daemon's copy of the operators' text and of the list of
-// VMs, and keeps it up to date.
-type documents interface {
-	// Reduce takes a DocumentRead, a PullArrived or a PullEnded.
-	Reduce(now almondstep.Instant, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect
-	// Tick asks the platform; a relay watches it all the time.
-	Tick(now almondstep.Instant, relay bool, out []almondstep.Effect) []almondstep.Effect
-	// Heard pulls what a peer has newer. The ages in states count from sent, when
-	// this daemon asked; notAsked if it didn't.
-	Heard(now, sent almondstep.Instant, from almondstep.DaemonID, addr almondstep.Address, states []almondstep.DocumentState, out []almondstep.Effect) []almondstep.Effect
-	// States says what is held.
-	States(now almondstep.Instant) []almondstep.DocumentState
-	// Document gives the newest edition, nil if there is none.
-	Document(name almondstep.DocumentName) *almondstep.Document
-}
-
-// notAsked is when a digest that came unasked was asked for. It may have lain in
-// a paused process's socket, so that its ages mean nothing.
-const notAsked = almondstep.Instant(-1)
-
 // relaysPerZone is how many daemons of a zone watch the platform.
 const relaysPerZone = 2
 
+// checks tell which editions can be put in force; others are reported and never
+// taken.
+func checks() map[almondstep.DocumentName]distributor.Check {
+	return map[almondstep.DocumentName]distributor.Check{
+		almondstep.DocumentConfig: func(body []byte) error {
+			_, err := parser.Parse(body)
+			return err
+		},
+		almondstep.DocumentFleet: func(body []byte) error {
+			var f almondstep.Fleet
+			return json.Unmarshal(body, &f)
+		},
+	}
+}
+
 // isRelay says whether this daemon watches the platform for its zone.
 func (c *Control) isRelay() bool {
 	return slices.Contains(c.view.relays, c.cfg.Self)
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -317,7 +317,7 @@
 	f.reads++
 	if !f.platformReachable(n) {
 		f.after(time.Second, func() {
-			f.deliver(n, &almondstep.DocumentRead{Name: e.Name, Err: "no answer"})
+			f.deliver(n, &almondstep.DocumentRead{Name: e.Name, Err: "no answer", Asked: e.Asked})
 		})
 		return
 	}
@@ -328,11 +328,15 @@
 	}
 	f.after(wait, func() {
 		if !f.platformReachable(n) {
-			f.deliver(n, &almondstep.DocumentRead{Name: e.Name, Err: "no answer"})
+			f.deliver(n, &almondstep.DocumentRead{Name: e.Name, Err: "no answer", Asked: e.Asked})
 			return
 		}
 		newest := f.document(e.Name)
-		f.deliver(n, &almondstep.DocumentRead{Name: e.Name, Document: &newest})
+		read := &almondstep.DocumentRead{Name: e.Name, Asked: e.Asked, Unchanged: newest.Revision == e.After}
+		if !read.Unchanged {
+			read.Document = &newest
+		}
+		f.deliver(n, read)
 	})
 }
 
