Ask for the word that gets old, rather than probe other zones all the time

Cause: the busiest daemon sent more than 5 KB/s. Two daemons a zone probed each other zone every second although the platform's word made that needless, digests carried the ages of all zones though those in probes aren't used, and renewals came on average every 1.8 s because of their jitter.

Change: while the platform's word is young nobody probes another zone for it. From 1.2 s of age a daemon asks a zone mate, from 1.7 s a daemon of each other zone, and only then do answers pass on the zones' word. Renewals come every 2.0 to 2.2 s; one that fails is tried again at once, and its vouching outlasts two tries.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -56,7 +56,6 @@
 	view       viewCache
 	stopping   bool
 	settled    bool
-	lastProbe  almondstep.Instant
 }
 
 // New gives a control partition that has no document yet.
@@ -70,12 +69,13 @@
 	c.view.open = make(map[almondstep.ZoneName]bool)
 	c.docs = distributor.New(distributor.Config{Self: cfg.Self, Seed: cfg.Seed, Checks: checks()})
 	c.prober = prober.New(prober.Config{
-		Self:     cfg.Self,
-		Addr:     cfg.Addr,
-		Zone:     cfg.Zone,
-		Epoch:    cfg.Epoch,
-		Seed:     cfg.Seed,
-		Describe: c.describe,
+		Self:      cfg.Self,
+		Addr:      cfg.Addr,
+		Zone:      cfg.Zone,
+		Epoch:     cfg.Epoch,
+		Seed:      cfg.Seed,
+		Documents: c.docs.States,
+		Zones:     c.describeZones,
 	})
 	return c
 }
@@ -120,7 +120,8 @@
 func (c *Control) tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	out = c.docs.Tick(now, c.isRelay(), out)
 	out = c.prober.Tick(now, out)
-	out = c.probeZones(now, out)
+	out = c.askMate(now, out)
+	out = c.askZones(now, out)
 	c.settle(now)
 	if c.quarantine.expire(now) {
 		c.view.dirty = true
@@ -195,8 +196,3 @@
 	c.view.membersChanged = true
 	c.prober.Leave()
 }
-
-// describe gives what a digest says of documents and zones.
-func (c *Control) describe(now almondstep.Instant) ([]almondstep.DocumentState, []almondstep.ZoneConfirmation) {
-	return c.docs.States(now), c.freshness.describe(now)
-}
--- a/controller/cost_test.go
+++ b/controller/cost_test.go
@@ -21,6 +21,8 @@
 				f := zones(1, sixZones, n/6, 5600/6*n/732)
 				f.runFor(20 * time.Second)
 				f.measure(b, 20*time.Second)
+				f.outage = true
+				b.ReportMetric(f.stale(20*time.Second), "outage-stale-%")
 			}
 		})
 	}
@@ -32,21 +34,9 @@
 		n.bytes, n.probes, n.cpu, n.events = 0, 0, 0, 0
 	}
 	f.reads = 0
-	stale, looks := 0, 0
 	published := 0
 	f.onPublish = func(*node) { published++ }
-	for end := f.now + d; f.now < end; {
-		f.runFor(500 * time.Millisecond)
-		for i := 0; i < len(f.ids); i += 1 + len(f.ids)/24 {
-			got := f.nodes[f.ids[i]].targets()
-			for _, z := range sixZones {
-				looks++
-				if got[z] == 0 {
-					stale++
-				}
-			}
-		}
-	}
+	stale := f.stale(d)
 	bytes, most, probes, cpu := 0, 0, 0, time.Duration(0)
 	for _, id := range f.ids {
 		n := f.nodes[id]
@@ -63,7 +53,25 @@
 	b.ReportMetric(float64(cpu.Microseconds())/perDaemon, "cpu-us/s")
 	b.ReportMetric(float64(published)/perDaemon, "views/s")
 	b.ReportMetric(float64(f.reads)/d.Seconds(), "reads/s")
-	b.ReportMetric(100*float64(stale)/float64(looks), "stale-%")
+	b.ReportMetric(stale, "stale-%")
+}
+
+// stale runs on and gives the percentage of looks at which a zone was left out.
+func (f *fleet) stale(d time.Duration) float64 {
+	stale, looks := 0, 0
+	for end := f.now + d; f.now < end; {
+		f.runFor(500 * time.Millisecond)
+		for i := 0; i < len(f.ids); i += 1 + len(f.ids)/24 {
+			got := f.nodes[f.ids[i]].targets()
+			for _, z := range sixZones {
+				looks++
+				if got[z] == 0 {
+					stale++
+				}
+			}
+		}
+	}
+	return 100 * float64(stale) / float64(looks)
 }
 
 // BenchmarkRebuild is one daemon's work at 732 daemons and 5,600 upstreams for a
--- a/controller/freshness.go
+++ b/controller/freshness.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"almondstep"
@@ -11,8 +10,14 @@
 	// freshFor is how long a confirmation of the configuration allows work for
 	// another zone, which operators may have taken out meanwhile.
 	freshFor = 2500 * time.Millisecond
-	// zoneProbeEvery is the time between a link's probes of its other zone.
-	zoneProbeEvery = time.Second
+	// askMateAfter is the age of the platform's word from which a daemon of the
+	// own zone is asked for a newer one.
+	askMateAfter = 1200 * time.Millisecond
+	// askAfter is the age from which a daemon of the other zone itself is asked:
+	// one probe may fail before the word is too old.
+	askAfter = 1700 * time.Millisecond
+	// askEvery is the time between two such probes.
+	askEvery = 400 * time.Millisecond
 )
 
 // freshness has when a daemon of each other zone last showed that it holds no
@@ -20,9 +25,14 @@
 type freshness struct {
 	zones     []almondstep.ZoneName
 	confirmed map[almondstep.ZoneName]almondstep.Instant
+	// next is when a zone may be asked again.
+	next map[almondstep.ZoneName]almondstep.Instant
 }
 
-func (f *freshness) init() { f.confirmed = make(map[almondstep.ZoneName]almondstep.Instant) }
+func (f *freshness) init() {
+	f.confirmed = make(map[almondstep.ZoneName]almondstep.Instant)
+	f.next = make(map[almondstep.ZoneName]almondstep.Instant)
+}
 
 // hear takes a digest's word for its own zone and what it passes on of others.
 // Its ages count from sent, when it was asked for. A sender with a newer
@@ -59,11 +69,6 @@
 	return ages
 }
 
-func (f *freshness) fresh(now almondstep.Instant, zone almondstep.ZoneName) bool {
-	at, known := f.confirmed[zone]
-	return known && now.Sub(at) <= freshFor
-}
-
 func configRevision(d *almondstep.Digest) almondstep.Revision {
 	for _, s := range d.Documents {
 		if s.Name == almondstep.DocumentConfig {
@@ -73,53 +78,70 @@
 	return 0
 }
 
-// fresh says whether work may be sent to a zone: its own always, another one
-// only if it can't have been taken out more than a moment ago.
-func (c *Control) fresh(now almondstep.Instant, zone almondstep.ZoneName) bool {
-	return zone == c.cfg.Zone || c.platformFresh(now) || c.freshness.fresh(now, zone)
+// age tells how old the word of a zone is; AgeUnknown if there is none.
+func (f *freshness) age(now almondstep.Instant, zone almondstep.ZoneName) time.Duration {
+	at, known := f.confirmed[zone]
+	if !known {
+		return almondstep.AgeUnknown
+	}
+	return now.Sub(at)
+}
+
+// describeZones passes the zones' word on while the platform doesn't answer.
+func (c *Control) describeZones(now almondstep.Instant) []almondstep.ZoneConfirmation {
+	if c.platformAge(now) <= askAfter {
+		return nil
+	}
+	return c.freshness.describe(now)
 }
 
-func (c *Control) platformFresh(now almondstep.Instant) bool {
+// platformAge tells how long ago the platform confirmed the configuration.
+func (c *Control) platformAge(now almondstep.Instant) time.Duration {
 	for _, s := range c.docs.States(now) {
 		if s.Name == almondstep.DocumentConfig {
-			return s.Age <= freshFor
+			return s.Age
 		}
 	}
-	return false
+	return almondstep.AgeUnknown
 }
 
-// linksPerZone is how many daemons of a zone probe each other zone.
-const linksPerZone = 2
+// confirmedAge tells how long ago the platform or a daemon of the zone confirmed
+// the configuration in force here.
+func (c *Control) confirmedAge(now almondstep.Instant, zone almondstep.ZoneName) time.Duration {
+	return min(c.platformAge(now), c.freshness.age(now, zone))
+}
 
-// electLinks finds the zones this daemon probes for its own. Each other zone has
-// its own two daemons here, so that the cost is shared.
-func (c *Control) electLinks() {
-	c.view.links = c.view.links[:0]
-	for _, z := range c.zones {
-		if z != c.cfg.Zone && slices.Contains(c.firstLive("link/"+string(z), linksPerZone), c.cfg.Self) {
-			c.view.links = append(c.view.links, z)
-		}
-	}
+// fresh says whether work may be sent to a zone: its own always, another one
+// only if it can't have been taken out more than a moment ago.
+func (c *Control) fresh(now almondstep.Instant, zone almondstep.ZoneName) bool {
+	return zone == c.cfg.Zone || c.confirmedAge(now, zone) <= freshFor
 }
 
-// firstLive gives the first n live daemons of the own zone for a key.
-func (c *Control) firstLive(key string, n int) []almondstep.DaemonID {
-	var live []almondstep.DaemonID
-	for _, id := range c.rank.Order(key) {
-		if len(live) < n && c.prober.Routable(id) {
-			live = append(live, id)
-		}
+// askMate probes a daemon of the own zone if the platform's word gets old here:
+// another one is likely to have a newer word.
+func (c *Control) askMate(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	age := c.platformAge(now)
+	if age <= askMateAfter || age > askAfter || now < c.freshness.next[c.cfg.Zone] {
+		return out
 	}
-	return live
+	c.freshness.next[c.cfg.Zone] = now.Add(askEvery)
+	return c.prober.ProbeZone(now, c.cfg.Zone, out)
 }
 
-// probeZones probes a daemon of each zone this one is the link to.
-func (c *Control) probeZones(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
-	if now.Sub(c.lastProbe) < zoneProbeEvery {
+// askZones probes a daemon of each zone whose word gets old. While the platform
+// answers, its word reaches every daemon in time and nobody need be asked.
+func (c *Control) askZones(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if c.catalog == nil {
 		return out
 	}
-	c.lastProbe = now
-	for _, z := range c.view.links {
+	for _, z := range c.zones {
+		if z == c.cfg.Zone || c.catalog.ZoneOut(z) || now < c.freshness.next[z] {
+			continue
+		}
+		if c.confirmedAge(now, z) <= askAfter {
+			continue
+		}
+		c.freshness.next[z] = now.Add(askEvery)
 		out = c.prober.ProbeZone(now, z, out)
 	}
 	return out
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -26,10 +26,8 @@
 	placements    map[almondstep.ServiceName][]almondstep.Placement
 	peers         map[almondstep.DaemonID]almondstep.Address
 	peersOf       almondstep.Revision
-	// relays watch the platform for the zone; links are the zones that this
-	// daemon probes for it.
+	// relays watch the platform for the zone.
 	relays    []almondstep.DaemonID
-	links     []almondstep.ZoneName
 	open      map[almondstep.ZoneName]bool
 	published bool
 }
@@ -43,7 +41,6 @@
 		c.view.membersChanged = false
 		c.rankOwned()
 		c.view.relays = c.firstLive("relay/"+string(c.cfg.Zone), relaysPerZone)
-		c.electLinks()
 		c.view.placementsDirty = true
 	}
 	if c.weighGrants(now) || c.extended(now) {
@@ -80,6 +77,17 @@
 	}
 }
 
+// firstLive gives the first n live daemons of the own zone for a key.
+func (c *Control) firstLive(key string, n int) []almondstep.DaemonID {
+	var live []almondstep.DaemonID
+	for _, id := range c.rank.Order(key) {
+		if len(live) < n && c.prober.Routable(id) {
+			live = append(live, id)
+		}
+	}
+	return live
+}
+
 // open says whether new work may be sent to a zone.
 func (c *Control) open(now almondstep.Instant, z almondstep.ZoneName) bool {
 	return !c.catalog.ZoneOut(z) && c.fresh(now, z)
--- a/prober/digest.go
+++ b/prober/digest.go
@@ -14,8 +14,8 @@
 		Incarnation: p.incarnation,
 		Rumors:      p.queue.take(p.tellLimit()),
 	}
-	if p.cfg.Describe != nil {
-		d.Documents, d.Zones = p.cfg.Describe(now)
+	if p.cfg.Documents != nil {
+		d.Documents = p.cfg.Documents(now)
 	}
 	if m == nil {
 		return d
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -103,6 +103,9 @@
 	}
 	m := p.members[e.Digest.From]
 	d := p.digest(now, m)
+	if p.cfg.Zones != nil {
+		d.Zones = p.cfg.Zones(now)
+	}
 	if e.Digest.Renews && m != nil {
 		d.Vouches = p.vouch(now, m, &e.Digest)
 		d.Gone = p.goneList(m)
@@ -136,6 +139,7 @@
 	m.probe = outstanding{}
 	out = p.answerRelayed(now, e, out)
 	if !e.OK {
+		p.retryRenewal(now, m, sent)
 		return p.doubt(now, m, out)
 	}
 	m.ask.failed = 0
@@ -144,6 +148,13 @@
 	return out
 }
 
+// retryRenewal asks a witness again soon: its vouching outlasts two more tries.
+func (p *Prober) retryRenewal(now almondstep.Instant, m *member, sent outstanding) {
+	if sent.renews && m.state == almondstep.MemberAlive {
+		m.nextRenew = min(m.nextRenew, now.Add(almondstep.TickEvery))
+	}
+}
+
 func (p *Prober) answerRelayed(now almondstep.Instant, e *almondstep.ProbeEnded, out []almondstep.Effect) []almondstep.Effect {
 	kept := p.relayed[:0]
 	for _, r := range p.relayed {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -61,8 +61,11 @@
 	Epoch uint32
 	// Seed drives all random choices.
 	Seed uint64
-	// Describe gives what digests say of the documents and the other zones.
-	Describe func(now almondstep.Instant) ([]almondstep.DocumentState, []almondstep.ZoneConfirmation)
+	// Documents gives what digests say of the documents.
+	Documents func(now almondstep.Instant) []almondstep.DocumentState
+	// Zones gives what answers say of the other zones. A probe says nothing of
+	// them: its ages would mean nothing, since it comes unasked.
+	Zones func(now almondstep.Instant) []almondstep.ZoneConfirmation
 }
 
 // Prober is the membership state of one daemon. Its methods append effects to out.
--- a/prober/vouch.go
+++ b/prober/vouch.go
@@ -19,7 +19,7 @@
 
 // renewJitter is the part of the time between renewals that is left to chance,
 // so that daemons that started together don't all renew at once.
-const renewJitter = 5
+const renewJitter = 10
 
 func (p *Prober) epoch() uint64 { return epochOf(p.incarnation) }
 
@@ -39,10 +39,10 @@
 		if m == nil || m.probe.open || m.hasLeft {
 			continue
 		}
-		if now < m.nextRenew && m.nextRenew.Sub(now) <= every {
+		if now < m.nextRenew && m.nextRenew.Sub(now) <= every+every/renewJitter {
 			continue
 		}
-		m.nextRenew = now.Add(every - p.rng.upTo(every/renewJitter))
+		m.nextRenew = now.Add(every + p.rng.upTo(every/renewJitter))
 		out = p.send(now, m, true, out)
 	}
 	return out
