--- a/limiter/bench_test.go
+++ b/limiter/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -70,3 +71,33 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(2*b.N), "ns/event")
 }
+
+// What the state of one upstream takes that has run an item: B/upstream.
+func BenchmarkUpstreamState(b *testing.B) {
+	const upstreams = 10_000
+	var before, after runtime.MemStats
+	for range b.N {
+		owned := map[almondstep.Address]almondstep.OwnedUpstream{}
+		var addrs []almondstep.Address
+		for i := range upstreams {
+			v := vm("boot1")
+			v.Addr = almondstep.Address(fmt.Sprintf("10.0.%d.%d:80", i/256, i%256))
+			addrs = append(addrs, v.Addr)
+			owned[v.Addr] = almondstep.NewOwnedUpstream(v, 2, 25, almondstep.GrantFull, almondstep.Warm)
+		}
+		view := almondstep.NewView(almondstep.ViewParts{Self: "d1", Owned: owned})
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		u := limiter.New(limiter.Config{})
+		for i, a := range addrs {
+			w := &almondstep.Work{Query: almondstep.QueryID(i), Attempt: 1, Version: 7, Remaining: time.Second}
+			it := almondstep.Item{Shard: almondstep.NewShard("intake-desk", 3, 20), Upstream: a}
+			out := u.Reduce(0, view, &almondstep.ItemArrived{Item: it, Work: w, Deadline: almondstep.Instant(time.Second)}, nil)
+			u.Reduce(0, view, &almondstep.AttemptEnded{Addr: a, Call: started(out)[0].Call, Boot: "boot1", Version: 7}, nil)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/upstreams, "B/upstream")
+		runtime.KeepAlive(u)
+	}
+}
