--- a/querier/check_test.go
+++ b/querier/check_test.go
@@ -10,6 +10,7 @@
 // feed hands the partition an event and checks every effect.
 func (f *fake) feed(e almondstep.Event) {
 	for _, effect := range f.q.Reduce(f.now, f.v, e, nil) {
+		f.write(effect)
 		switch effect := effect.(type) {
 		case *almondstep.SendWork:
 			f.checkWork(effect)
@@ -28,6 +29,15 @@
 	}
 }
 
+func (f *fake) write(e almondstep.Effect) {
+	if f.log == nil {
+		return
+	}
+	if err := f.log.Encode(e); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // notAfterEnd holds for all effects but cancels.
 func (f *fake) notAfterEnd(id almondstep.QueryID, e almondstep.Effect) {
 	truth := f.queries[id]
--- a/querier/fake_test.go
+++ b/querier/fake_test.go
@@ -1,6 +1,7 @@
 package querier_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -27,6 +28,8 @@
 	timers   []*almondstep.SetQueryTimer
 	claims   []almondstep.QueryID
 	outcomes map[almondstep.Outcome]int
+	// log takes the effects down, if it is set.
+	log *json.Encoder
 }
 
 // queryTruth is what truly happened to a query.
