Dialer: a hedge's loser finds silence too; an idle connection is told from one just taken

Cause: hedging cancels a search on a silent connection before it is overdue or times out, so the silent siblings were never looked for and each cost a hedge. And the mark of an idle connection could be set after its next request had begun, so that it could be closed under that request and end as broken, which counts as evidence of a crash. Change: a search canceled after twice the mean without a word from its used connection starts a proof, at most one a second; the mark is the request itself, cleared only by its own; a request whose connection this side closed as silent is a timeout. TestSilenceFoundByCancel is new. Conclusion: whichever way a search on a silent connection ends, one proof finds its siblings.

--- a/dialer/attempt.go
+++ b/dialer/attempt.go
@@ -40,17 +40,22 @@
 	ended  *almondstep.AttemptEnded
 	began  time.Time
 	cancel context.CancelFunc
-	// conn is the connection the request went out on; nil before it has one.
-	conn atomic.Pointer[conn]
-	// writtenBefore is what the connection had carried before the request.
-	writtenBefore int64
-	// reused says that the connection was used before.
-	reused bool
+	// carrier is the connection the request went out on; nil before it has one.
+	carrier atomic.Pointer[carrier]
 	// silent says that the request was given up because its connection had
 	// gone silent.
 	silent atomic.Bool
 }
 
+// carrier is a connection as the request found it.
+type carrier struct {
+	*conn
+	// writtenBefore is what the connection had carried before the request.
+	writtenBefore int64
+	// used says that the connection was used before the request.
+	used bool
+}
+
 // do sends the request and fills in how it ended.
 func (p *pool) do(parent context.Context, a *almondstep.StartAttempt, ended *almondstep.AttemptEnded) {
 	defer p.done()
@@ -67,7 +72,7 @@
 	}
 	if err != nil {
 		ended.Result = t.failure(parent, ctx, err)
-		p.suspectTimeout(t)
+		p.suspectEnd(t)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -84,11 +89,11 @@
 // either side, with none of it written, so that sending it now sends it for
 // the first time.
 func (t *attempt) unsent(ctx context.Context) bool {
-	return ctx.Err() == nil && t.conn.Load() != nil && !t.written()
+	return ctx.Err() == nil && t.carrier.Load() != nil && !t.written()
 }
 
 func (t *attempt) send(ctx context.Context) (*http.Response, error) {
-	t.conn.Store(nil)
+	t.carrier.Store(nil)
 	if t.start.Proof {
 		return t.sendProof(ctx)
 	}
@@ -127,29 +132,39 @@
 	if !ok {
 		return
 	}
-	t.writtenBefore = c.written.Load()
-	t.reused = info.Reused || time.Since(c.opened) > freshFor
-	c.busy.Store(true)
-	t.conn.Store(c)
+	c.request.Store(t)
+	t.carrier.Store(&carrier{
+		conn:          c,
+		writtenBefore: c.written.Load(),
+		used:          info.Reused || time.Since(c.opened) > freshFor,
+	})
 }
 
+// putIdleConn may come after the connection has got its next request.
 func (t *attempt) putIdleConn(error) {
-	if c := t.conn.Load(); c != nil {
-		c.busy.Store(false)
+	if c := t.carrier.Load(); c != nil {
+		c.request.CompareAndSwap(t, nil)
 	}
 }
 
 // written says that the upstream may have read some of a request that has
 // failed. The connection is closed first, so that nothing is written later.
 func (t *attempt) written() bool {
-	c := t.conn.Load()
+	c := t.carrier.Load()
 	if c == nil {
 		return false
 	}
-	if c.written.Load() == t.writtenBefore {
+	if c.written.Load() == c.writtenBefore {
 		_ = c.Close()
 	}
-	return c.written.Load() > t.writtenBefore
+	return c.written.Load() > c.writtenBefore
+}
+
+// dropped says that this side closed the connection, just when the request had
+// got it.
+func (t *attempt) dropped() bool {
+	c := t.carrier.Load()
+	return c != nil && c.dropped.Load()
 }
 
 // failure says how a request without a whole answer ended. CallRefused is said
@@ -161,7 +176,7 @@
 		return almondstep.CallCanceled
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return almondstep.CallRefused
-	case t.silent.Load(), ctx.Err() != nil, !t.written():
+	case t.silent.Load(), t.dropped(), ctx.Err() != nil, !t.written():
 		return almondstep.CallTimeout
 	default:
 		return almondstep.CallBroken
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -17,8 +17,10 @@
 	opened  time.Time
 	heard   atomic.Int64
 	written atomic.Int64
-	// busy says that a request is on the connection.
-	busy    atomic.Bool
+	// request is the request on the connection; nil while it is idle.
+	request atomic.Pointer[attempt]
+	// dropped says that this side closed the connection as silent.
+	dropped atomic.Bool
 	reading sync.Mutex
 	closed  atomic.Bool
 	once    sync.Once
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -39,6 +39,7 @@
 	open     map[*conn]struct{}
 	spare    *conn
 	suspects []*attempt
+	provedAt time.Time
 	closed   bool
 	latency  latency
 }
--- a/dialer/silence.go
+++ b/dialer/silence.go
@@ -16,6 +16,12 @@
 	// overdueFactor is how many times the mean a request may take before it
 	// counts as overdue.
 	overdueFactor = 10
+	// lateFactor is how many times the mean a canceled request must have taken
+	// to start a proof.
+	lateFactor = 2
+	// proofPause is the least time after a proof before a canceled request
+	// starts another.
+	proofPause    = time.Second
 	statePath     = "/v1/state"
 	maxStateBytes = 1 << 20
 )
@@ -37,7 +43,7 @@
 // and a fresh one answers, the connection is taken for silent. There is one
 // proof at a time; requests that come overdue meanwhile are judged by it too.
 func (p *pool) prove(t *attempt) {
-	if t.conn.Load() == nil || !t.reused || !p.suspect(t) {
+	if c := t.carrier.Load(); c == nil || !c.used || !p.suspect(t) {
 		return
 	}
 	began := time.Now()
@@ -66,6 +72,7 @@
 	p.mu.Lock()
 	suspects := p.suspects
 	p.suspects = nil
+	p.provedAt = time.Now()
 	if !p.closed {
 		p.spare, fresh = fresh, nil
 	}
@@ -124,24 +131,41 @@
 	return c.SetDeadline(time.Time{})
 }
 
-// suspectTimeout starts a proof after a request that timed out before it was
-// overdue, since its connection may have gone silent.
-func (p *pool) suspectTimeout(t *attempt) {
-	if t.ended.Result != almondstep.CallTimeout || !t.start.Idempotent || t.silent.Load() {
+// suspectEnd starts a proof after a request that ended before it was overdue,
+// without a word from its connection: it may have gone silent. One that was
+// canceled, such as the loser of a hedge, counts if it took longer than usual.
+func (p *pool) suspectEnd(t *attempt) {
+	if !t.start.Idempotent || t.silent.Load() {
 		return
 	}
-	if c := t.conn.Load(); c != nil && c.heard.Load() < t.began.UnixNano() {
+	c := t.carrier.Load()
+	if c == nil || c.heard.Load() >= t.began.UnixNano() {
+		return
+	}
+	switch t.ended.Result {
+	case almondstep.CallTimeout:
 		go p.prove(t)
+	case almondstep.CallCanceled:
+		if p.lateCancel(time.Now(), t.began) {
+			go p.prove(t)
+		}
+	default:
 	}
 }
 
+func (p *pool) lateCancel(now, began time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(began) > lateFactor*p.latency.mean && now.Sub(p.provedAt) > proofPause
+}
+
 // giveUp ends an overdue request, if its connection was not heard since the
 // proof began, and closes the idle connections that were not heard since the
 // request went out: whatever has lost track of the one has likely lost track
 // of them.
 func (t *attempt) giveUp(proofBegan time.Time) {
-	c := t.conn.Load()
-	if c.heard.Load() >= proofBegan.UnixNano() {
+	c := t.carrier.Load()
+	if c == nil || c.heard.Load() >= proofBegan.UnixNano() {
 		return
 	}
 	p := t.pool
@@ -156,12 +180,13 @@
 	p.mu.Lock()
 	var stale []*conn
 	for c := range p.open {
-		if !c.busy.Load() && c != p.spare && c.heard.Load() < before.UnixNano() {
+		if c.request.Load() == nil && c != p.spare && c.heard.Load() < before.UnixNano() {
 			stale = append(stale, c)
 		}
 	}
 	p.mu.Unlock()
 	for _, c := range stale {
+		c.dropped.Store(true)
 		_ = c.Close()
 	}
 	return len(stale)
--- a/dialer/silence_test.go
+++ b/dialer/silence_test.go
@@ -173,6 +173,28 @@
 	}
 }
 
+// A hedge's loser is canceled before it is overdue or times out; its silence is
+// found too.
+func TestSilenceFoundByCancel(t *testing.T) {
+	s := start(t, &upstream.Server{Slots: 8, Latency: upstream.Latency{Base: 10 * time.Millisecond}})
+	c := client(t)
+	c.Overdue = time.Hour
+	const open = 6
+	fill(t, c, addrOf(s), open)
+	s.SilenceOpen()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(time.Second, cancel)
+	a := search(addrOf(s))
+	a.Timeout = time.Hour
+	wantResult(t, c.Do(ctx, a), almondstep.CallCanceled)
+	for c.Idle(addrOf(s)) != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range open {
+		wantResult(t, c.Do(context.Background(), search(addrOf(s))), almondstep.CallDone)
+	}
+}
+
 // A straggler doesn't cost the connections that were heard since it went out.
 func TestStragglerKeepsSiblings(t *testing.T) {
 	var mu sync.Mutex
