--- a/controller/failure_test.go
+++ b/controller/failure_test.go
@@ -361,3 +361,30 @@
 		}
 	}
 }
+
+// A zone that loses the platform and all other zones sends nothing to them 3 s
+// later, since they may have been taken out. Suspicion alone would take longer:
+// with many daemons, each of the others must be found silent first.
+func TestZoneCutOffStopsSendingInTime(t *testing.T) {
+	const daemons = 16
+	f := zones(12, threeZones, daemons, 48)
+	f.runFor(15 * time.Second)
+	alone := f.ids[:daemons]
+	for _, id := range alone {
+		f.cut[link{id, platform}] = true
+		for _, o := range f.ids[daemons:] {
+			f.cut[link{id, o}] = true
+			f.cut[link{o, id}] = true
+		}
+	}
+	f.runFor(3 * time.Second)
+	for _, id := range alone {
+		got := f.nodes[id].targets()
+		if got[threeZones[1]] != 0 || got[threeZones[2]] != 0 {
+			t.Errorf("%s still sends to %v", id, got)
+		}
+		if got, want := got[threeZones[0]], 48; got != want {
+			t.Errorf("%s sends to %d replicas of its own zone, want %d", id, got, want)
+		}
+	}
+}
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -100,8 +100,12 @@
 func (c *Control) weigh(now almondstep.Instant, o *owned, held bool, blockers []almondstep.DaemonID) (almondstep.Grant, []almondstep.DaemonID) {
 	self := slices.Index(o.order, c.cfg.Self)
 	full := true
-	for _, id := range o.order[:max(self, 0)] {
-		if c.prober.Cleared(now, id) {
+	cleared := c.prober.ClearedNow
+	if held {
+		cleared = c.prober.Cleared
+	}
+	for i, id := range o.order {
+		if id == c.cfg.Self || i > self && (held || c.prober.Acknowledged(now, id)) || cleared(now, id) {
 			continue
 		}
 		full = false
@@ -112,14 +116,6 @@
 	if !full {
 		return almondstep.GrantWarmOnly, blockers
 	}
-	if held {
-		return almondstep.GrantFull, blockers
-	}
-	for _, id := range o.order[self+1:] {
-		if !c.prober.Acknowledged(now, id) && !c.prober.Cleared(now, id) {
-			return almondstep.GrantWarmOnly, blockers
-		}
-	}
 	return almondstep.GrantFull, blockers
 }
 
--- a/prober/member.go
+++ b/prober/member.go
@@ -246,6 +246,7 @@
 // newEpoch begins the ownership rules anew.
 func (p *Prober) newEpoch() {
 	p.incarnation = newEpoch(p.epoch() + 1)
+	p.vouchedSince = 0
 	p.changed = true
 	p.Spread(p.selfRumor(), true)
 	for _, m := range p.all {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -91,6 +91,9 @@
 	incarnation uint64
 	left        bool
 
+	// vouchedSince is since when a quorum vouches; 0 while none does.
+	vouchedSince almondstep.Instant
+
 	lastTick  almondstep.Instant
 	pausedAt  almondstep.Instant
 	nextProbe almondstep.Instant
@@ -130,6 +133,7 @@
 	p.expireSuspects(now)
 	p.lapseCharges(now)
 	p.reconsiderSelf(now)
+	p.noteQuorum(now)
 	out = p.renew(now, out)
 	out = p.greet(now, out)
 	out = p.inquire(now, out)
--- a/prober/verdict.go
+++ b/prober/verdict.go
@@ -70,6 +70,35 @@
 	return p.saying(now, m, epoch)+1 >= quorum(n)
 }
 
+// ClearedNow says whether a daemon can't hold a grant by words that are still
+// young, rather than by a former verdict: the daemon may have begun a new epoch
+// that hasn't been heard of here. It needs a quorum that has vouched for this
+// daemon for as long as a word counts, so that of two daemons that each go by old
+// words about the other, at most one can.
+func (p *Prober) ClearedNow(now almondstep.Instant, id almondstep.DaemonID) bool {
+	if !p.Cleared(now, id) {
+		return false
+	}
+	m := p.members[id]
+	if m == nil || m.hasLeft {
+		return true
+	}
+	votes := p.saying(now, m, max(epochOf(m.incarnation), 1))
+	if p.leaseCounts(now, len(m.witnesses)) {
+		votes++
+	}
+	return votes >= quorum(len(m.witnesses)) && p.vouchedSince != 0 && now.Sub(p.vouchedSince) > wordLasts
+}
+
+// noteQuorum remembers since when a quorum has vouched for the present epoch.
+func (p *Prober) noteQuorum(now almondstep.Instant) {
+	if _, ok := p.VouchedUntil(now); !ok {
+		p.vouchedSince = 0
+	} else if p.vouchedSince == 0 {
+		p.vouchedSince = now
+	}
+}
+
 // Acknowledged says whether a daemon has known this daemon's epoch for so long
 // that what it may have sent before has ended.
 func (p *Prober) Acknowledged(now almondstep.Instant, id almondstep.DaemonID) bool {
