--- a/messenger/client.go
+++ b/messenger/client.go
@@ -23,7 +23,7 @@
 	pingAfter = 500 * time.Millisecond
 	// pingTimeout is how long a ping may take before the connection is closed;
 	// it is how a connection that went silent for good is found.
-	pingTimeout = 500 * time.Millisecond
+	pingTimeout = time.Second
 	// idleTimeout closes connections to daemons nobody talks to.
 	idleTimeout = 2 * time.Minute
 )
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -32,6 +34,8 @@
 	TLS *tls.Config
 	// Sent, if set, is told the encoded size of each control message.
 	Sent func(kind string, bytes int)
+	// ErrorLog gets what goes wrong on connections; nil drops it.
+	ErrorLog *log.Logger
 
 	server *http.Server
 }
@@ -50,6 +54,9 @@
 
 // Init prepares the server; call it once before Serve and Shutdown.
 func (s *Server) Init() {
+	if s.ErrorLog == nil {
+		s.ErrorLog = log.New(io.Discard, "", 0)
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
@@ -58,6 +65,7 @@
 		Handler:           http.MaxBytesHandler(peerpb.NewPeerServer(&handler{peer: s.Peer, sent: s.Sent}), maxMessageBytes),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          s.ErrorLog,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
 			SendPingTimeout:      pingAfter,
--- a/starter/parts.go
+++ b/starter/parts.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"almondstep"
 	"almondstep/applier"
 	"almondstep/claimer"
@@ -164,7 +166,8 @@
 }
 
 func (d *Daemon) makeServers(certs *certificates) error {
-	d.messages = &messenger.Server{Peer: d.runner, Sent: d.recorder.ControlSent}
+	connections := d.Logger.Named("messenger").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	d.messages = &messenger.Server{Peer: d.runner, Sent: d.recorder.ControlSent, ErrorLog: connections}
 	d.callers = &server.Server{Name: "callers", Routes: server.CallerRoutes(d.runner)}
 	operators := &server.Operators{
 		Frontend:     d.runner,
