Find silent connections between daemons by calls, not by pings

Each side pinged each idle connection every 500 ms, so the cost grew with the number of daemons; at 96 processes they never all became ready. Change: no pings. A call that ends at its deadline with nothing heard from the daemon since it began gives the connection up, and the next call dials anew.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -19,13 +18,10 @@
 const (
 	// dialTimeout bounds a connection to a daemon of another region.
 	dialTimeout = time.Second
-	// pingAfter is how long a connection may bring nothing before it is pinged.
-	pingAfter = 500 * time.Millisecond
-	// pingTimeout is how long a ping may take before the connection is closed;
-	// it is how a connection that went silent for good is found.
-	pingTimeout = time.Second
 	// idleTimeout closes connections to daemons nobody talks to.
 	idleTimeout = 2 * time.Minute
+	// renewEvery bounds how often the connection to a daemon is given up.
+	renewEvery = time.Second
 )
 
 // Client sends messages to other daemons. It holds one HTTP/2 connection per
@@ -37,47 +33,21 @@
 	Sent func(kind string, bytes int)
 
 	mu    sync.Mutex
-	http  *http.Client
-	peers map[almondstep.Address]peerpb.Peer
+	peers map[almondstep.Address]*peer
 }
 
 var _ almondstep.PeerClient = (*Client)(nil)
 
-// transport makes the one transport of the client. Without TLS it speaks
-// HTTP/2 from the first byte, since both ends are ours.
-func (c *Client) transport() *http.Transport {
-	protocols := new(http.Protocols)
-	if c.TLS == nil {
-		protocols.SetUnencryptedHTTP2(true)
-	} else {
-		protocols.SetHTTP2(true)
-	}
-	return &http.Transport{
-		Protocols:       protocols,
-		TLSClientConfig: c.TLS,
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout: idleTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter,
-			PingTimeout:     pingTimeout,
-		},
-	}
-}
-
-func (c *Client) peer(to almondstep.Address) peerpb.Peer {
+// peer finds or makes what is kept for a daemon.
+func (c *Client) peer(to almondstep.Address) *peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.http == nil {
-		c.http = &http.Client{Transport: c.transport()}
-		c.peers = make(map[almondstep.Address]peerpb.Peer)
+	if c.peers == nil {
+		c.peers = make(map[almondstep.Address]*peer)
 	}
 	p, ok := c.peers[to]
 	if !ok {
-		scheme := "http://"
-		if c.TLS != nil {
-			scheme = "https://"
-		}
-		p = peerpb.NewPeerProtobufClient(scheme+string(to), c.http)
+		p = &peer{addr: to, tls: c.TLS}
 		c.peers[to] = p
 	}
 	return p
@@ -87,13 +57,16 @@
 func (c *Client) Forget(to almondstep.Address) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.peers, to)
+	if p, ok := c.peers[to]; ok {
+		p.close()
+		delete(c.peers, to)
+	}
 }
 
 // Work sends a Work to an owner. The error is ErrNotRun only if the connection
 // was refused or the owner said so itself.
 func (c *Client) Work(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, w *almondstep.Work) (*almondstep.WorkAnswered, error) {
-	r, err := c.peer(to).Deliver(ctx, encodeWork(from, w))
+	r, err := call(ctx, c.peer(to), peerpb.Peer.Deliver, encodeWork(from, w))
 	if err != nil {
 		return nil, classify(err)
 	}
@@ -102,7 +75,7 @@
 
 // Collect waits for the pending rest of a Work.
 func (c *Client) Collect(ctx context.Context, to almondstep.Address, e *almondstep.CollectArrived) (*almondstep.WorkAnswered, error) {
-	r, err := c.peer(to).Collect(ctx, &peerpb.CollectRequest{
+	r, err := call(ctx, c.peer(to), peerpb.Peer.Collect, &peerpb.CollectRequest{
 		Query:     uint64(e.ID),
 		Attempt:   uint32(e.Attempt),
 		Remaining: int64(e.Remaining),
@@ -115,7 +88,7 @@
 
 // Cancel tells an owner that nothing more is wanted.
 func (c *Client) Cancel(ctx context.Context, to almondstep.Address, e *almondstep.CancelArrived) error {
-	_, err := c.peer(to).Cancel(ctx, &peerpb.CancelRequest{
+	_, err := call(ctx, c.peer(to), peerpb.Peer.Cancel, &peerpb.CancelRequest{
 		Query:   uint64(e.ID),
 		Attempt: uint32(e.Attempt),
 		Items:   groupItems(e.Items),
@@ -127,7 +100,7 @@
 func (c *Client) Probe(ctx context.Context, to almondstep.Address, target almondstep.DaemonID, d *almondstep.Digest) (*almondstep.Digest, bool, error) {
 	req := &peerpb.ProbeRequest{Digest: encodeDigest(d), Target: string(target)}
 	c.count("probe", req)
-	r, err := c.peer(to).Probe(ctx, req)
+	r, err := call(ctx, c.peer(to), peerpb.Peer.Probe, req)
 	if err != nil {
 		return nil, false, classify(err)
 	}
@@ -138,7 +111,7 @@
 func (c *Client) Pull(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, have almondstep.DocumentState) (*almondstep.Patch, error) {
 	req := &peerpb.PullRequest{From: string(from), Have: encodeState(have)}
 	c.count("pull", req)
-	r, err := c.peer(to).Pull(ctx, req)
+	r, err := call(ctx, c.peer(to), peerpb.Peer.Pull, req)
 	if err != nil {
 		return nil, classify(err)
 	}
@@ -156,7 +129,7 @@
 
 // Claim asks the key's home daemon for the one run of a request.
 func (c *Client) Claim(ctx context.Context, to almondstep.Address, e *almondstep.ClaimKey) (almondstep.ClaimOutcome, error) {
-	r, err := c.peer(to).Claim(ctx, &peerpb.ClaimRequest{
+	r, err := call(ctx, c.peer(to), peerpb.Peer.Claim, &peerpb.ClaimRequest{
 		Query:       uint64(e.ID),
 		Key:         e.Key,
 		Fingerprint: uint64(e.Fingerprint),
@@ -170,7 +143,7 @@
 
 // Status asks what a daemon says of itself.
 func (c *Client) Status(ctx context.Context, to almondstep.Address) (*almondstep.DaemonStatus, error) {
-	r, err := c.peer(to).Status(ctx, &peerpb.Empty{})
+	r, err := call(ctx, c.peer(to), peerpb.Peer.Status, &peerpb.Empty{})
 	if err != nil {
 		return nil, classify(err)
 	}
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -68,8 +68,6 @@
 		ErrorLog:          s.ErrorLog,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
-			SendPingTimeout:      pingAfter,
-			PingTimeout:          pingTimeout,
 		},
 	}
 }
