Ports that nobody else takes, for daemons that are processes

Cause: at 48 processes one never became ready: two daemons had been given the same port, since a free port was looked for by closing it again. Change: ports are given once, from below those of outgoing connections, so that a daemon that restarts finds its own free too. Conclusion: the fault was the test's.

--- a/starter/process_test.go
+++ b/starter/process_test.go
@@ -47,14 +47,27 @@
 	log       bytes.Buffer
 }
 
+// nextPort is where freePort goes on. The ports lie below those that the system
+// gives to outgoing connections, so that a daemon that restarts finds its own
+// still free.
+var nextPort = 20_000
+
+// freePort finds an address that nobody listens on and that was not given
+// before.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const last = 32_000
+	for nextPort < last {
+		nextPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func newProcess(t *testing.T, i int, zone almondstep.ZoneName, platform string) *process {
