--- a/embedder/set.go
+++ b/embedder/set.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -229,6 +230,8 @@
 	settings.ListenOperators = "127.0.0.1:0"
 	settings.ListenPeers = "127.0.0.1:0"
 	settings.ReadyDelay = 0
+	// The daemons share this machine's cores.
+	settings.TrafficThreads = max(1, runtime.GOMAXPROCS(0)/max(1, s.DaemonsPerZone*len(s.Zones)))
 	settings.Distances = make(map[almondstep.ZoneName]time.Duration, len(s.Zones))
 	for _, z := range s.Zones {
 		if z != zone {
--- a/experimenter/run.go
+++ b/experimenter/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,9 @@
 	// resultLimit bounds the records of an answer.
 	resultLimit = 20
 	// warmTimeout bounds the wait for full coverage before the run begins.
-	warmTimeout = 60 * time.Second
+	warmTimeout = 30 * time.Second
+	// warmAskers is how many searches of the warming are open at a time.
+	warmAskers = 4
 	// warmPause is the time between two searches of the warming.
 	warmPause = 20 * time.Millisecond
 	// warmRounds is the number of complete searches in a row that count as warm.
@@ -224,26 +227,54 @@
 	return nil
 }
 
-// warm searches until answers are complete many times in a row, so that the run
-// begins with warm upstreams and a digest of their latency.
+// warm searches until answers are complete many times in a row and no daemon
+// counts an upstream as cold any more, so that the run begins with warm
+// upstreams and a digest of their latency. Upstreams that stay cold for want of
+// work are left so when the time is over.
 func (r *run) warm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
 	defer cancel()
+	var complete atomic.Int64
+	var wg sync.WaitGroup
+	for range warmAskers {
+		wg.Go(func() { r.warmOne(ctx, &complete) })
+	}
+	wg.Wait()
+	if n := complete.Load(); n < warmRounds {
+		return errors.Newf("not warm within %s: %d complete answers in a row at the end", warmTimeout, n)
+	}
+	return nil
+}
+
+func (r *run) warmOne(ctx context.Context, complete *atomic.Int64) {
 	k := kinds()[1]
-	for complete, n := 0, 0; complete < warmRounds; n++ {
-		a, err := r.ask(ctx, k, n)
-		if err == nil && a.Coverage.Complete {
-			complete++
-		} else {
-			complete = 0
+	for ctx.Err() == nil && (complete.Load() < warmRounds || r.coldUpstreams() > 0) {
+		a, err := r.ask(ctx, k, 0)
+		switch {
+		case ctx.Err() != nil:
+		case err == nil && a.Coverage.Complete:
+			complete.Add(1)
+		default:
+			complete.Store(0)
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Newf("not warm within %s: %d complete answers in a row at the end", warmTimeout, complete)
 		case <-time.After(warmPause):
 		}
 	}
-	return nil
+}
+
+// coldUpstreams counts the upstreams that their owners call cold; the naive
+// policy knows none.
+func (r *run) coldUpstreams() int {
+	if r.flat != nil {
+		return 0
+	}
+	cold := 0
+	for _, d := range r.set.Daemons() {
+		cold += d.Frontend().View().Status().Cold
+	}
+	return cold
 }
 
 // events makes the scenario's events happen; the channel gives the first error.
