One way to put a text in force on an embedded set

Cause: the demo, the experimenter and the tests of the daemon each set an applier up in the same lines. Measured: nothing; the same tests pass. Conclusion: the four copies are one.

--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -18,7 +18,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"almondstep"
-	"almondstep/applier"
 	"almondstep/embedder"
 	"almondstep/examples"
 	"almondstep/parser"
@@ -45,7 +44,6 @@
 
 	set     *embedder.Set
 	catalog *almondstep.Catalog
-	applier *applier.Applier
 	rows    []row
 	turn    int
 }
@@ -132,22 +130,12 @@
 }
 
 func (d *Demo) applyText(ctx context.Context) error {
-	d.applier = &applier.Applier{
-		Platform: d.set.Storer,
-		Check: func(text []byte) error {
-			_, err := parser.Parse(text)
-			return err
-		},
-		Who:   "demo",
-		Now:   time.Now,
-		NewID: newID,
-	}
 	return d.apply(ctx, examples.Roastery, 0, "first text")
 }
 
 // apply puts a text in force and waits until every daemon has it.
 func (d *Demo) apply(ctx context.Context, text []byte, base almondstep.Revision, reason string) error {
-	result, err := d.applier.Apply(ctx, applier.Edit{Text: text, Base: base, Reason: reason})
+	result, err := d.set.Apply(ctx, text, base, reason)
 	if err != nil {
 		return errors.Wrap(err, "apply")
 	}
--- a/experimenter/run.go
+++ b/experimenter/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,10 +12,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"almondstep"
-	"almondstep/applier"
 	"almondstep/embedder"
 	"almondstep/generator"
-	"almondstep/parser"
 	"almondstep/requester"
 	"almondstep/server"
 	"almondstep/starter"
@@ -87,7 +83,6 @@
 	exp     *Experimenter
 	policy  Policy
 	set     *embedder.Set
-	applier *applier.Applier
 	version almondstep.Version
 	base    almondstep.Revision
 	clients []*requester.Client
@@ -184,16 +179,6 @@
 	if err := r.set.Start(ctx); err != nil {
 		return err
 	}
-	r.applier = &applier.Applier{
-		Platform: r.set.Storer,
-		Check: func(text []byte) error {
-			_, err := parser.Parse(text)
-			return err
-		},
-		Who:   "experimenter",
-		Now:   time.Now,
-		NewID: func() string { return strconv.FormatUint(rand.Uint64(), 36) },
-	}
 	for _, d := range r.set.Daemons() {
 		r.clients = append(r.clients, &requester.Client{Base: "http://" + string(d.CallersAddress())})
 	}
@@ -219,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	result, err := r.applier.Apply(ctx, applier.Edit{Text: text, Base: r.base, Reason: "scenario"})
+	result, err := r.set.Apply(ctx, text, r.base, "scenario")
 	if err != nil {
 		return err
 	}
--- a/starter/cost_test.go
+++ b/starter/cost_test.go
@@ -103,11 +103,7 @@
 
 func apply(t *testing.T, set *embedder.Set, base almondstep.Revision, text []byte) *applier.Result {
 	t.Helper()
-	a := &applier.Applier{
-		Platform: set.Storer, Who: "test", Now: time.Now, Check: func([]byte) error { return nil },
-		NewID: func() string { return strconv.FormatInt(time.Now().UnixNano(), 36) },
-	}
-	r, err := a.Apply(t.Context(), applier.Edit{Text: text, Base: base})
+	r, err := set.Apply(t.Context(), text, base, "test")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/starter/process_test.go
+++ b/starter/process_test.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"almondstep"
-	"almondstep/applier"
 	"almondstep/embedder"
 	"almondstep/examples"
 	"almondstep/server"
@@ -225,14 +224,7 @@
 		})
 	}
 	set.Platform.SetFleet(fleet)
-	ids := 0
-	a := &applier.Applier{Platform: set.Storer, Who: "test", Now: time.Now, NewID: func() string {
-		ids++
-		return fmt.Sprintf("id-%d", ids)
-	}, Check: func([]byte) error { return nil }}
-	if _, err := a.Apply(t.Context(), applier.Edit{Text: examples.Roastery}); err != nil {
-		t.Fatal(err)
-	}
+	apply(t, set, 0, examples.Roastery)
 	for _, p := range b.processes {
 		p.start(t)
 	}
