A stragglers scenario at a size one machine can show

Cause: at 1,200 shards a query's own calls fill this machine's cores, so its ordinary latency hides stragglers of 30 ms. Change: a scenario of 200 shards with slower upstreams.

--- a/experimenter/experimenter_test.go
+++ b/experimenter/experimenter_test.go
@@ -111,7 +111,7 @@
 			t.Errorf("%s: %v", file, err)
 		}
 	}
-	if got, want := scenarios, 8; got != want {
+	if got, want := scenarios, 9; got != want {
 		t.Errorf("got %d scenarios, want %d", got, want)
 	}
 }
