Read-through: one decoder of the platform's value, a setting that counts, dead parts out

Cause: reading the whole change once more showed that starter decoded the platform's value again although applier.DecodeDocument does; that the setting maxBodyBytes was checked and printed but the server used a constant of its own; and fields and functions that nothing calls (Runner.Addr, Set.Tune, Set.Unlist, a wrapper of strings.Contains). Change: starter calls applier.DecodeDocument; the setting reaches the callers' and operators' servers, with the former constant as its default; the dead parts are gone. Conclusion: behaviour at the defaults is the same.

--- a/demonstrator/searches.go
+++ b/demonstrator/searches.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"almondstep"
@@ -200,7 +201,7 @@
 func (d *Demo) runs(body string) int {
 	n := 0
 	for what, times := range d.set.Ledger.Runs() {
-		if containsBody(what, body) {
+		if strings.Contains(what, body) {
 			n += times
 		}
 	}
--- a/demonstrator/zones.go
+++ b/demonstrator/zones.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,5 +81,3 @@
 	}
 	return n
 }
-
-func containsBody(what, body string) bool { return strings.Contains(what, body) }
--- a/embedder/changes.go
+++ b/embedder/changes.go
@@ -6,12 +6,12 @@
 	"almondstep"
 )
 
-// Lose ends upstreams for good, as VMs that fail do. The platform's list still
-// shows them; call Unlist for it to notice.
+// Lose ends upstreams for good, as VMs that fail do. The platform's list goes
+// on showing them.
 func (s *Set) Lose(which func(u *Upstream) bool) int {
 	n := 0
 	for _, u := range s.upstreams {
-		if which(u) && !u.gone {
+		if which(u) {
 			u.Close()
 			n++
 		}
@@ -19,22 +19,12 @@
 	return n
 }
 
-// Unlist takes upstreams out of the platform's list.
-func (s *Set) Unlist(which func(u *Upstream) bool) {
-	for _, u := range s.upstreams {
-		if which(u) {
-			u.gone = true
-		}
-	}
-	s.List()
-}
-
 // Restart starts upstreams anew; they refuse connections for downtime and are
 // cold after it.
 func (s *Set) Restart(downtime time.Duration, which func(u *Upstream) bool) int {
 	n := 0
 	for _, u := range s.upstreams {
-		if which(u) && !u.gone {
+		if which(u) {
 			u.Restart(downtime)
 			n++
 		}
--- a/embedder/set.go
+++ b/embedder/set.go
@@ -51,8 +51,6 @@
 	// Cold starts the upstreams cold.
 	Cold bool
 	Seed uint64
-	// Tune, if set, changes each daemon's settings before it starts.
-	Tune func(s *loader.Settings)
 	// TuneDaemon, if set, changes each daemon before it starts.
 	TuneDaemon func(d *starter.Daemon)
 	Logger     hclog.Logger
@@ -79,7 +77,6 @@
 	shard   uint32
 	of      uint32
 	replica int
-	gone    bool
 }
 
 // Replica numbers the replicas of a shard, from 0.
@@ -238,9 +235,6 @@
 			settings.Distances[z] = zoneDistance
 		}
 	}
-	if s.Tune != nil {
-		s.Tune(settings)
-	}
 	return settings
 }
 
@@ -292,9 +286,6 @@
 		})
 	}
 	for _, u := range s.upstreams {
-		if u.gone {
-			continue
-		}
 		vm := u.vm
 		vm.Boot = u.Boot()
 		fleet.Upstreams = append(fleet.Upstreams, vm)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,9 +25,8 @@
 
 // Runner drives one daemon's reducers. Set the fields, then call Run.
 type Runner struct {
-	// Self, Addr and Zone are the daemon's own.
+	// Self and Zone are the daemon's own.
 	Self almondstep.DaemonID
-	Addr almondstep.Address
 	Zone almondstep.ZoneName
 	// Control is the control thread's reducer.
 	Control *reducer.Reducer
--- a/server/caller_routes.go
+++ b/server/caller_routes.go
@@ -73,9 +73,10 @@
 // codeInvalid is the code of a malformed request.
 const codeInvalid almondstep.RefusalCode = "invalid"
 
-// CallerRoutes are what callers may ask of frontend.
-func CallerRoutes(frontend almondstep.Frontend) []rest.Route {
-	h := callerHandler{frontend: frontend}
+// CallerRoutes are what callers may ask of frontend, with bodies of at most
+// maxBody bytes.
+func CallerRoutes(frontend almondstep.Frontend, maxBody int64) []rest.Route {
+	h := callerHandler{frontend: frontend, maxBody: maxBody}
 	return []rest.Route{
 		{Method: http.MethodPost, Path: PathSearch, Handler: h.search},
 		{Method: http.MethodPost, Path: PathRun, Handler: h.run},
@@ -85,11 +86,12 @@
 
 type callerHandler struct {
 	frontend almondstep.Frontend
+	maxBody  int64
 }
 
 func (h callerHandler) search(w http.ResponseWriter, r *http.Request) {
 	var req SearchRequest
-	if err := decode(r.Body, &req); err != nil {
+	if err := decode(io.LimitReader(r.Body, h.maxBody), &req); err != nil {
 		refuse(w, err)
 		return
 	}
@@ -103,7 +105,7 @@
 
 func (h callerHandler) run(w http.ResponseWriter, r *http.Request) {
 	var req RunRequest
-	if err := decode(r.Body, &req); err != nil {
+	if err := decode(io.LimitReader(r.Body, h.maxBody), &req); err != nil {
 		refuse(w, err)
 		return
 	}
@@ -249,7 +251,7 @@
 
 // decode reads exactly one JSON value without unknown keys.
 func decode(body io.Reader, into any) error {
-	d := json.NewDecoder(io.LimitReader(body, maxBodyBytes))
+	d := json.NewDecoder(body)
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
 		return errors.Wrapf(almondstep.ErrInvalid, "body: %v", err)
--- a/server/server.go
+++ b/server/server.go
@@ -32,8 +32,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a request's body.
-	maxBodyBytes = 1 << 20
 )
 
 // Server serves one set of routes on one address.
@@ -42,6 +40,8 @@
 	Name string
 	// Routes are what is served.
 	Routes []rest.Route
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
 	// TLS is the certificate and the authorities; nil talks in the clear.
 	TLS *tls.Config
 
@@ -55,7 +55,7 @@
 			Name: s.Name,
 			Log:  logx.LogConf{Mode: "console", Level: "error", Stat: false},
 		},
-		MaxBytes:    maxBodyBytes,
+		MaxBytes:    s.MaxBodyBytes,
 		Middlewares: rest.MiddlewaresConf{Recover: true, MaxBytes: true},
 	})
 	if err != nil {
--- a/starter/parts.go
+++ b/starter/parts.go
@@ -72,14 +72,13 @@
 	self := almondstep.DaemonID(d.Settings.VM)
 	d.runner = &runner.Runner{
 		Self:    self,
-		Addr:    d.PeersAddress(),
 		Zone:    d.Settings.Zone,
 		Control: d.controlReducer(self),
 		Traffic: d.trafficReducers(self),
 		Documents: &runner.PlatformReader{
 			Platform:     d.parts.platform,
 			ConfigKey:    applier.Key,
-			DecodeConfig: decodeConfig,
+			DecodeConfig: applier.DecodeDocument,
 		},
 		Platform:  d.parts.platform,
 		Upstreams: d.parts.dialer,
@@ -97,20 +96,6 @@
 	d.runner.Init(context.Background())
 }
 
-// decodeConfig opens the value in which the platform holds the operators' text.
-func decodeConfig(value []byte) (*almondstep.Document, error) {
-	e, err := applier.DecodeEnvelope(value)
-	if err != nil {
-		return nil, err
-	}
-	return &almondstep.Document{
-		Name:     almondstep.DocumentConfig,
-		Revision: e.Revision,
-		Hash:     e.Hash,
-		Body:     []byte(e.Text),
-	}, nil
-}
-
 // claimHome chooses one live daemon for each bucket of keys, over all zones, so
 // that the writes of a bucket are batched in one place.
 func claimHome(v *almondstep.View, key string) almondstep.DaemonID {
@@ -168,14 +153,15 @@
 func (d *Daemon) makeServers(certs *certificates) error {
 	connections := d.Logger.Named("messenger").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	d.messages = &messenger.Server{Peer: d.runner, Sent: d.recorder.ControlSent, ErrorLog: connections}
-	d.callers = &server.Server{Name: "callers", Routes: server.CallerRoutes(d.runner)}
+	body := int64(d.Settings.MaxBodyBytes)
+	d.callers = &server.Server{Name: "callers", Routes: server.CallerRoutes(d.runner, body), MaxBodyBytes: body}
 	operators := &server.Operators{
 		Frontend:     d.runner,
 		Self:         d.runner.Status,
 		Peers:        d.peers,
 		WriteMetrics: d.recorder.WritePrometheus,
 	}
-	d.operators = &server.Server{Name: "operators", Routes: operators.Routes()}
+	d.operators = &server.Server{Name: "operators", Routes: operators.Routes(), MaxBodyBytes: body}
 	if d.Settings.TLSPeers {
 		d.messages.TLS = certs.server()
 	}
