--- a/answer.go
+++ b/answer.go
@@ -59,6 +59,10 @@
 	CodeShed            RefusalCode = "shed"
 	CodeFailed          RefusalCode = "failed"
 	CodeMissingShards   RefusalCode = "missingShards"
+	CodeUnknownRoute    RefusalCode = "unknownRoute"
+	CodeCallerGone      RefusalCode = "callerGone"
+	CodeBodyTooLarge    RefusalCode = "bodyTooLarge"
+	CodeBadBody         RefusalCode = "badBody"
 )
 
 // Coverage says which shards an answer includes. It never claims more than was
--- /dev/null
+++ b/budgeter/budget_test.go
@@ -0,0 +1,112 @@
+package budgeter_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/budgeter"
+)
+
+const service = almondstep.ServiceName("intake-desk~1")
+
+// Nine daemons that each hedge all they may stay within the bound over the
+// fleet, in every window of the stated length.
+func TestDaemonsTogetherStayWithinTheBound(t *testing.T) {
+	const (
+		daemons = 9
+		ratio   = 0.2
+		slack   = 58
+		window  = 10 * time.Second
+	)
+	rng := rand.New(rand.NewSource(7))
+	budgets := make([]*budgeter.Budget, daemons)
+	for i := range budgets {
+		budgets[i] = &budgeter.Budget{Ratio: ratio, Slack: slack, Window: window}
+	}
+	var needed, extra []time.Duration
+	for at := time.Duration(0); at < 40*time.Second; at += 5 * time.Millisecond {
+		b := budgets[rng.Intn(daemons)]
+		now := almondstep.Instant(at)
+		if rng.Intn(2) == 0 && at < 30*time.Second {
+			b.Need(now, service)
+			needed = append(needed, at)
+		}
+		if b.Take(now, service, daemons, budgeter.Retry) {
+			extra = append(extra, at)
+		}
+	}
+	if len(extra) < slack {
+		t.Errorf("got %d further calls, want the budget used", len(extra))
+	}
+	for _, from := range extra {
+		sent := within(extra, from, window)
+		base := max(within(needed, from, window), within(needed, from-window/2, window), within(needed, from-window, window))
+		if want := ratio*float64(base) + slack; float64(sent) > want {
+			t.Fatalf("from %v: got %d further calls, want at most %.0f", from, sent, want)
+		}
+	}
+}
+
+func within(times []time.Duration, from, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < from+window {
+			n++
+		}
+	}
+	return n
+}
+
+// Hedges leave a part of the budget for retries.
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	b := &budgeter.Budget{Slack: 100, Window: 10 * time.Second}
+	for b.Take(0, service, 1, budgeter.Hedge) {
+	}
+	if got, want := b.Take(0, service, 1, budgeter.Retry), true; got != want {
+		t.Errorf("a retry after all hedges: got %v, want %v", got, want)
+	}
+}
+
+// A refunded call can be taken again.
+func TestRefund(t *testing.T) {
+	b := &budgeter.Budget{Slack: 2, Window: 10 * time.Second}
+	b.Take(0, service, 1, budgeter.Retry)
+	if got := b.Take(0, service, 1, budgeter.Retry); got {
+		t.Fatal("got a second call out of a budget of one")
+	}
+	b.Refund(0, service)
+	if got, want := b.Take(0, service, 1, budgeter.Retry), true; got != want {
+		t.Errorf("after the refund: got %v, want %v", got, want)
+	}
+}
+
+// All daemons together send a cold upstream no more than its bound in any
+// second.
+func TestColdUpstreamGetsNoMoreThanItsBound(t *testing.T) {
+	const (
+		daemons = 6
+		rate    = 20
+		factor  = 1.5
+		slack   = 5
+	)
+	colds := make([]*budgeter.Cold, daemons)
+	for i := range colds {
+		colds[i] = &budgeter.Cold{Factor: factor, Slack: slack}
+	}
+	var sent []time.Duration
+	for at := time.Duration(0); at < 5*time.Second; at += time.Millisecond {
+		if colds[int(at/time.Millisecond)%daemons].Take(almondstep.Instant(at), "i-1", rate, daemons) {
+			sent = append(sent, at)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("got no call at all")
+	}
+	for _, from := range sent {
+		if got, want := within(sent, from, time.Second), rate*factor+slack; float64(got) > want {
+			t.Fatalf("from %v: got %d calls in a second, want at most %.0f", from, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/almondstep-entry/main.go
@@ -0,0 +1,13 @@
+// Command almondstep-entry is the daemon on the users' platform: every entry
+// machine runs one.
+package main
+
+import (
+	"os"
+
+	"almondstep/platform"
+)
+
+func main() {
+	os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/directory.go
@@ -0,0 +1,61 @@
+package almondstep
+
+import "time"
+
+// UpstreamID names one start of one upstream, as the upstream itself states it.
+type UpstreamID string
+
+// Upstream is one upstream server that the platform's registry lists.
+type Upstream struct {
+	ID UpstreamID
+	// Started is the wall-clock time of the start; an upstream that starts again
+	// may keep its id. Zero if it isn't known.
+	Started time.Time
+	Service ServiceName
+	Addr    Address
+	Zone    ZoneName
+	Region  RegionName
+	// Slots is the number of requests it runs at a time; 0 if it isn't known.
+	Slots int
+	// Leaving upstreams get no new requests.
+	Leaving bool
+	// ColdFor is how much longer the upstream stays cold, counted from when the
+	// entry was read.
+	ColdFor time.Duration
+}
+
+// Directory is what a daemon knows of the routes and of who answers them, as
+// one immutable value.
+type Directory struct {
+	routes    *RouteTable
+	upstreams map[ServiceName][]*Upstream
+	daemons   int
+}
+
+// DirectoryParts is what a directory is made of.
+type DirectoryParts struct {
+	// Routes is nil as long as no table is known.
+	Routes *RouteTable
+	// Upstreams are those that may get new requests, by service.
+	Upstreams map[ServiceName][]*Upstream
+	// Daemons is the number of daemons among which bounds are shared, at least 1.
+	Daemons int
+}
+
+// NewDirectory freezes the parts. The caller must not change them after.
+func NewDirectory(p DirectoryParts) *Directory {
+	return &Directory{routes: p.Routes, upstreams: p.Upstreams, daemons: max(1, p.Daemons)}
+}
+
+// Routes is the newest route table; nil as long as none is known.
+func (d *Directory) Routes() *RouteTable { return d.routes }
+
+// Upstreams lists those of a service that may get new requests. The caller must
+// not change it.
+func (d *Directory) Upstreams(s ServiceName) []*Upstream { return d.upstreams[s] }
+
+// All has the upstreams of every service. The caller must not change it.
+func (d *Directory) All() map[ServiceName][]*Upstream { return d.upstreams }
+
+// Daemons is the number of daemons among which bounds are shared, at least 1.
+func (d *Directory) Daemons() int { return d.daemons }
--- /dev/null
+++ b/exchanger/encode.go
@@ -0,0 +1,67 @@
+package exchanger
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+
+	"almondstep"
+)
+
+// encode writes a call as one run of bytes.
+func encode(c *almondstep.SendCall, own almondstep.Header) []byte {
+	m := c.Request
+	b := make([]byte, 0, 512+len(m.Body))
+	b = append(b, m.Method...)
+	b = append(b, ' ')
+	b = append(b, m.Target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendField(b, "Host", m.Host)
+	for _, f := range m.Header {
+		if !own.Has(f.Name) {
+			b = appendField(b, f.Name, f.Value)
+		}
+	}
+	for _, f := range own {
+		b = appendField(b, f.Name, f.Value)
+	}
+	if len(m.Body) > 0 || hasBody(m.Method) {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(m.Body)))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, m.Body...)
+}
+
+// hasBody says that a request of the method is taken to have a body, so that an
+// empty one states its length.
+func hasBody(method string) bool {
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return true
+	default:
+		return false
+	}
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// fields lists a header's fields by name.
+func fields(h http.Header) almondstep.Header {
+	names := make([]string, 0, len(h))
+	for name := range h {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var list almondstep.Header
+	for _, name := range names {
+		for _, value := range h[name] {
+			list = append(list, almondstep.HeaderField{Name: name, Value: value})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/forwarder/arrive.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// configurationRetry is when a caller may come back to a daemon that has no
+	// routes yet.
+	configurationRetry = 300 * time.Millisecond
+	// replicaRetry is when a caller may come back after no upstream could be
+	// reached: soon enough for its deadline, long enough for a restart.
+	replicaRetry = 60 * time.Millisecond
+)
+
+// arrived takes a request in and sends its first calls.
+func (f *Forwarder) arrived(now almondstep.Instant, v *almondstep.View, e *almondstep.RequestArrived, out []almondstep.Effect) []almondstep.Effect {
+	d := v.Directory()
+	if d == nil || d.Routes() == nil {
+		return append(out, refuse(e.ID, almondstep.CodeNoConfiguration, configurationRetry))
+	}
+	route, ok := d.Routes().Match(e.Request.Host, e.Request.Path)
+	if !ok {
+		return append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
+	}
+	r := &request{id: e.ID, message: e.Request, route: route, directory: d}
+	r.trace.Route = route.Name()
+	r.trace.Version = d.Routes().Version()
+	r.setTimes(now, e.Remaining)
+	f.addShards(r)
+	f.requests[r.id] = r
+	for i := range r.shards {
+		f.budget.Need(now, r.shards[i].service)
+		if !f.send(now, r, i, &out) {
+			r.giveUp(i, almondstep.CallRefused)
+		}
+	}
+	return f.proceed(now, r, out)
+}
+
+func refuse(id almondstep.QueryID, code almondstep.RefusalCode, after time.Duration) *almondstep.ReplyRequest {
+	return &almondstep.ReplyRequest{ID: id, Reply: &almondstep.Reply{
+		Outcome:    almondstep.OutcomeNotRun,
+		Code:       code,
+		RetryAfter: after,
+	}}
+}
+
+// addShards lists the services that answer the request.
+func (f *Forwarder) addShards(r *request) {
+	services := r.route.Shards()
+	if !r.gathers() {
+		services = []almondstep.ServiceName{f.target(r.route)}
+	}
+	r.shards = make([]shard, len(services))
+	for i, s := range services {
+		r.shards[i].service = s
+	}
+	r.open = len(r.shards)
+	r.trace.Shards = len(r.shards)
+}
+
+// split deals a route's requests out to its targets in the proportion of their
+// weights (smooth weighted round robin).
+type split struct {
+	credit map[almondstep.ServiceName]float64
+}
+
+// target chooses the service of a request that isn't over shards.
+func (f *Forwarder) target(r *almondstep.Route) almondstep.ServiceName {
+	targets := r.Targets()
+	if len(targets) == 1 {
+		return targets[0].Service
+	}
+	s, ok := f.splits[r.Name()]
+	if !ok {
+		s = &split{credit: make(map[almondstep.ServiceName]float64)}
+		f.splits[r.Name()] = s
+	}
+	return s.next(targets)
+}
+
+func (s *split) next(targets []almondstep.RouteTarget) almondstep.ServiceName {
+	sum := 0.0
+	best := targets[0].Service
+	for _, t := range targets {
+		sum += t.Weight
+		s.credit[t.Service] += t.Weight
+		if s.credit[t.Service] > s.credit[best] {
+			best = t.Service
+		}
+	}
+	s.credit[best] -= sum
+	return best
+}
--- /dev/null
+++ b/forwarder/doc.go
@@ -0,0 +1,16 @@
+// Package forwarder decides what becomes of a routed request: which upstreams it
+// is sent to, when it is sent to another one, and when and how it is answered.
+//
+// A request goes to one upstream of its service, or to one of each shard. Calls
+// go to the upstreams directly: any daemon may call any upstream, within bounds
+// that each daemon keeps for itself (package budgeter).
+//
+//	RequestArrived -> SendCall ... SendCall, SetRequestTimer
+//	CallEnded      -> (another SendCall) -> ReplyRequest
+//	RequestTimer   -> hedges, then ReplyRequest with the parts that are in
+//
+// A request that isn't idempotent is sent a second time only if the first call
+// certainly hasn't run. A refusal says notRun only if no call can have run.
+//
+// There is no clock and no I/O here.
+package forwarder
--- /dev/null
+++ b/forwarder/send.go
@@ -0,0 +1,103 @@
+package forwarder
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// leastHedgeDelay keeps quick upstreams from being hedged at every scheduling
+	// delay.
+	leastHedgeDelay = 12 * time.Millisecond
+	// linger is how long a call that is no longer needed may still be answered
+	// before its connection is closed.
+	linger = 150 * time.Millisecond
+)
+
+// send sends a shard's request to the best upstream not yet tried; false if
+// there is none. The caller has checked that another call is allowed.
+func (f *Forwarder) send(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) bool {
+	s := &r.shards[i]
+	u, ok := f.choose(now, r, s)
+	if !ok {
+		return false
+	}
+	f.lastCall++
+	id := f.lastCall
+	f.calls[id] = callRef{shard: i, call: len(s.calls)}
+	s.calls = append(s.calls, call{id: id, upstream: u})
+	s.hedgeAt = f.hedgeTime(now, r, s, u)
+	r.out++
+	r.trace.Calls++
+	f.picker.Sent(now, u, id)
+	*out = append(*out, &almondstep.SendCall{
+		ID:          r.id,
+		Call:        id,
+		Upstream:    u,
+		Request:     r.message,
+		Timeout:     r.deadline.Sub(now),
+		Connections: f.connections(r, s.service),
+		Unused:      !r.route.Idempotent(),
+	})
+	return true
+}
+
+// choose picks the upstream for a shard's next call. One that is cold is used
+// only within its rate.
+func (f *Forwarder) choose(now almondstep.Instant, r *request, s *shard) (*almondstep.Upstream, bool) {
+	var overRate []*almondstep.Upstream
+	usable := func(u *almondstep.Upstream) bool {
+		for _, o := range overRate {
+			if o == u {
+				return false
+			}
+		}
+		return r.route.Allows(u.Region) && !s.tried(u)
+	}
+	service, _ := r.directory.Routes().Service(s.service)
+	for {
+		u, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable)
+		if !ok {
+			return nil, false
+		}
+		if !f.picker.Cold(now, u) || f.cold.Take(now, u.ID, service.ColdPerSecond, r.directory.Daemons()) {
+			return u, true
+		}
+		overRate = append(overRate, u)
+	}
+}
+
+// connections is this daemon's share of the connections to one upstream.
+func (f *Forwarder) connections(r *request, s almondstep.ServiceName) int {
+	service, _ := r.directory.Routes().Service(s)
+	return max(1, service.MaxConnections/r.directory.Daemons())
+}
+
+// hedgeTime is when nearly all answers of the upstream have come, but early
+// enough that another upstream can still answer in time.
+func (f *Forwarder) hedgeTime(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream) almondstep.Instant {
+	usual := now.Add(max(leastHedgeDelay, f.picker.Usual(now, u)))
+	other, ok := f.quickestOther(now, r, s)
+	if !ok {
+		return usual
+	}
+	last := r.answerBy.Add(-other)
+	soonest := now.Add(max(leastHedgeDelay, f.picker.Expected(now, u)))
+	return max(soonest, min(usual, last))
+}
+
+// quickestOther is the time in which the quickest upstream not yet tried is
+// likely to answer.
+func (f *Forwarder) quickestOther(now almondstep.Instant, r *request, s *shard) (time.Duration, bool) {
+	least, found := time.Duration(0), false
+	for _, u := range r.directory.Upstreams(s.service) {
+		if s.tried(u) || !r.route.Allows(u.Region) {
+			continue
+		}
+		if expected := f.picker.Expected(now, u); !found || expected < least {
+			least, found = expected, true
+		}
+	}
+	return least, found
+}
--- a/message_upstream.go
+++ b/message_upstream.go
@@ -96,6 +96,10 @@
 	CallRejected
 	// CallWrongVersion was answered from another snapshot.
 	CallWrongVersion
+	// CallMisdirected met another upstream at the address; it didn't run.
+	CallMisdirected
+	// CallSpoiled brought an answer that isn't one to this call; it may have run.
+	CallSpoiled
 )
 
 // String names the result as metrics and logs show it.
@@ -109,6 +113,8 @@
 		CallCanceled:     "canceled",
 		CallRejected:     "rejected",
 		CallWrongVersion: "wrongVersion",
+		CallMisdirected:  "misdirected",
+		CallSpoiled:      "spoiled",
 	}
 	if int(r) >= len(names) {
 		return "unknown"
@@ -116,6 +122,16 @@
 	return names[r]
 }
 
+// NotRun says that a call that ended so certainly didn't run.
+func (r CallResult) NotRun() bool {
+	switch r {
+	case CallShed, CallRefused, CallMisdirected:
+		return true
+	default:
+		return false
+	}
+}
+
 // UpstreamTimer is a timer of an upstream that has come due.
 type UpstreamTimer struct {
 	Addr Address   `json:"addr"`
--- a/outside.go
+++ b/outside.go
@@ -38,6 +38,40 @@
 	Do(ctx context.Context, a *StartAttempt) *AttemptEnded
 }
 
+// Registry is the platform's record of the routes, the upstreams, the zones out
+// and the daemons.
+type Registry interface {
+	// ReadAll gives everything that is recorded.
+	ReadAll(ctx context.Context) (*RegistryChanges, error)
+	// Watch waits, at most wait, for changes after a revision. It returns ErrStale
+	// if the history since then is gone.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*RegistryChanges, error)
+	// Announce takes or renews this daemon's lease for ttl.
+	Announce(ctx context.Context, ttl time.Duration) error
+}
+
+// Exchanger sends one call to an upstream and says how it ended. It never sends
+// a call twice.
+type Exchanger interface {
+	Exchange(ctx context.Context, c *SendCall) *CallEnded
+}
+
+// Dialect knows the header fields in which upstreams of some protocol speak.
+type Dialect interface {
+	// Fields gives the header of a call.
+	Fields(c *SendCall) Header
+	// Judge fills in the result and what else the answer says, from the whole
+	// answer to the call.
+	Judge(c *SendCall, r *ResponseMessage, into *CallEnded)
+}
+
+// Forwarder takes requests for routes. Forward waits for the answer.
+type Forwarder interface {
+	Forward(ctx context.Context, e *RequestArrived) *Reply
+	// View is the newest view.
+	View() *View
+}
+
 // PeerClient sends messages to other daemons.
 type PeerClient interface {
 	// Work returns ErrNotRun if it is certain that nothing began, and
@@ -84,6 +118,8 @@
 	ControlSent(kind string, bytes int)
 	// PlatformCalled counts calls to the platform.
 	PlatformCalled(kind string, err error)
+	// Replied counts the answer to a routed request.
+	Replied(r RouteName, reply *Reply)
 	// Viewed notes the newest view.
 	Viewed(v *View)
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -30,6 +30,7 @@
 	tenants  labels
 	services labels
 	kinds    labels
+	named    labels
 
 	callers   cache[callerKey, *callerMetrics]
 	outcomes  cache[outcomeKey, *metrics.Counter]
@@ -37,6 +38,24 @@
 	upstreams cache[almondstep.ServiceName, *upstreamMetrics]
 	control   cache[string, *controlMetrics]
 	platform  cache[platformKey, *metrics.Counter]
+	routes    cache[almondstep.RouteName, *routeMetrics]
+	replies   cache[replyKey, *metrics.Counter]
+}
+
+type routeMetrics struct {
+	seconds  *metrics.Histogram
+	coverage *metrics.Histogram
+	calls    *metrics.Counter
+	hedges   *metrics.Counter
+	retries  *metrics.Counter
+	denied   *metrics.Counter
+}
+
+// replyKey is how a routed request ended.
+type replyKey struct {
+	route   almondstep.RouteName
+	outcome almondstep.Outcome
+	code    almondstep.RefusalCode
 }
 
 // callerKey is a tenant and a class.
@@ -59,7 +78,7 @@
 }
 
 // callResults is the number of ways a call to an upstream can end.
-const callResults = int(almondstep.CallWrongVersion) + 1
+const callResults = int(almondstep.CallSpoiled) + 1
 
 type upstreamMetrics struct {
 	calls   [callResults]*metrics.Counter
@@ -82,6 +101,7 @@
 	classLimit   = 16
 	serviceLimit = 64
 	kindLimit    = 32
+	routeLimit   = 256
 )
 
 // New makes a Recorder.
@@ -90,6 +110,7 @@
 	r.tenants.limit = tenantLimit * classLimit
 	r.services.limit = serviceLimit
 	r.kinds.limit = kindLimit
+	r.named.limit = routeLimit
 	r.addGauges()
 	return r
 }
@@ -148,6 +169,25 @@
 	m.seconds.Update(took.Seconds())
 }
 
+// Replied counts the answer to a routed request. A request that no route was
+// found for counts as "other".
+func (r *Recorder) Replied(route almondstep.RouteName, reply *almondstep.Reply) {
+	if route == "" || !r.named.admit(string(route)) {
+		route = otherLabel
+	}
+	t := reply.Trace
+	m := r.routes.get(route, r.newRoute)
+	m.seconds.Update(t.Took.Seconds())
+	m.calls.Add(t.Calls)
+	m.hedges.Add(t.Hedges)
+	m.retries.Add(t.Retries)
+	m.denied.Add(t.Denied)
+	if t.Shards > 0 {
+		m.coverage.Update(float64(t.Included) / float64(t.Shards))
+	}
+	r.replies.get(replyKey{route: route, outcome: reply.Outcome, code: reply.Code}, r.newReply).Inc()
+}
+
 // ControlSent counts bytes of control messages.
 func (r *Recorder) ControlSent(kind string, bytes int) {
 	if !r.kinds.admit(kind) {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -52,6 +52,9 @@
 	r.Answered("toasters", "urgent", partial())
 	r.Attempted("intake-desk", almondstep.CallShed, time.Millisecond)
 	r.ControlSent("probe", 300)
+	r.Replied("lots", &almondstep.Reply{Outcome: almondstep.OutcomePartial, Trace: almondstep.RequestTrace{
+		Shards: 20, Included: 19, Calls: 21, Hedges: 1, Denied: 1, Took: time.Millisecond,
+	}})
 	r.PlatformCalled("config", almondstep.ErrUnavailable)
 	return r
 }
@@ -66,6 +69,8 @@
 		`almondstep_upstream_calls_total{service="intake-desk",result="shed"} 1`,
 		`almondstep_control_sent_bytes_total{kind="probe"} 300`,
 		`almondstep_platform_calls_total{kind="config",result="unavailable"} 1`,
+		`almondstep_requests_total{route="lots",outcome="partial",code=""} 1`,
+		`almondstep_request_extra_calls_total{route="lots",use="hedge"} 1`,
 		`almondstep_revision 12`,
 	} {
 		if !strings.Contains(got, want+"\n") {
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -69,3 +69,20 @@
 func (r *Recorder) newPlatform(k platformKey) *metrics.Counter {
 	return r.set.GetOrCreateCounter(labeled(platformCalls, "kind", k.kind, "result", k.result))
 }
+
+func (r *Recorder) newRoute(route almondstep.RouteName) *routeMetrics {
+	label := []string{"route", string(route)}
+	return &routeMetrics{
+		seconds:  r.set.GetOrCreateHistogram(labeled(requestSeconds, label...)),
+		coverage: r.set.GetOrCreateHistogram(labeled(requestCoverage, label...)),
+		calls:    r.set.GetOrCreateCounter(labeled(requestCalls, label...)),
+		hedges:   r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "hedge")),
+		retries:  r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "retry")),
+		denied:   r.set.GetOrCreateCounter(labeled(requestDenied, label...)),
+	}
+}
+
+func (r *Recorder) newReply(k replyKey) *metrics.Counter {
+	return r.set.GetOrCreateCounter(labeled(requests,
+		"route", string(k.route), "outcome", string(k.outcome), "code", string(k.code)))
+}
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -35,6 +35,12 @@
 	controlMessages  = "almondstep_control_messages_total"
 	controlBytes     = "almondstep_control_sent_bytes_total"
 	platformCalls    = "almondstep_platform_calls_total"
+	requests         = "almondstep_requests_total"
+	requestSeconds   = "almondstep_request_seconds"
+	requestCoverage  = "almondstep_request_coverage_ratio"
+	requestCalls     = "almondstep_request_calls_total"
+	requestExtra     = "almondstep_request_extra_calls_total"
+	requestDenied    = "almondstep_request_denied_calls_total"
 	revision         = "almondstep_revision"
 	ready            = "almondstep_ready"
 	knownDaemons     = "almondstep_known_daemons"
@@ -45,7 +51,42 @@
 
 // Metrics lists every metric a daemon has, in the order of the documentation.
 func Metrics() []Metric {
-	return append(callerTable(), daemonTable()...)
+	return append(append(callerTable(), routeTable()...), daemonTable()...)
+}
+
+func routeTable() []Metric {
+	return []Metric{
+		{
+			requests, Counter, "requests", "route, outcome, code",
+			"Routed requests answered, by outcome and the code that says why one isn't complete.",
+			"The log line with the request's id says which shards were missing and how their last calls ended.",
+		},
+		{
+			requestSeconds, Histogram, "seconds", "route",
+			"Time from a routed request's arrival to its answer.",
+			"Near the latency target: answers wait for stragglers. See almondstep_upstream_call_seconds.",
+		},
+		{
+			requestCoverage, Histogram, "ratio", "route",
+			"Part of a routed request's shards that its answer includes.",
+			"Below 1: upstreams pause, are slow or gone, and the retry budget or the time didn't reach.",
+		},
+		{
+			requestCalls, Counter, "calls", "route",
+			"Calls sent to upstreams for routed requests.",
+			"Compare with the extra calls.",
+		},
+		{
+			requestExtra, Counter, "calls", "route, use",
+			"Calls beyond the first of a shard: hedges beside a late one, retries after a failed one.",
+			"Many hedges: find the slow upstreams. Many retries: find the failing ones.",
+		},
+		{
+			requestDenied, Counter, "calls", "route",
+			"Further calls that the retry budget didn't allow.",
+			"Above 0: so much is failing or late that more calls would harm the service.",
+		},
+	}
 }
 
 func callerTable() []Metric {
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -8,7 +8,8 @@
 //	SearchArrived, WorkAnswered, ...   -> Queries    (the entry daemon's side)
 //	WorkArrived, ItemFinished, ...     -> Gathers    (the owner's side of a Work)
 //	ItemArrived, AttemptEnded, ...     -> Upstreams  (the owner's side of a server)
-//	ViewChanged                        -> all three traffic partitions
+//	RequestArrived, CallEnded, ...     -> Requests   (routed requests)
+//	ViewChanged                        -> all traffic partitions
 //
 // There is no clock and no I/O here. The same events in the same order give the
 // same effects, which is what the golden files record.
@@ -28,12 +29,13 @@
 }
 
 // Reducer is the state of one thread. A control thread sets Control; a traffic
-// thread sets the other three.
+// thread sets the others.
 type Reducer struct {
 	Control   ControlPartition
 	Queries   Partition
 	Gathers   Partition
 	Upstreams Partition
+	Requests  Partition
 }
 
 // Reduce takes one event and appends what is to be done to out. An event of a
@@ -45,6 +47,8 @@
 	case *almondstep.WorkArrived, *almondstep.CollectArrived, *almondstep.CancelArrived,
 		*almondstep.GatherTimer, *almondstep.ItemFinished:
 		return reduceIn(r.Gathers, now, v, e, out)
+	case *almondstep.RequestArrived, *almondstep.RequesterGone, *almondstep.RequestTimer, *almondstep.CallEnded:
+		return reduceIn(r.Requests, now, v, e, out)
 	case almondstep.QueryEvent:
 		return reduceIn(r.Queries, now, v, e, out)
 	case almondstep.UpstreamEvent:
@@ -63,6 +67,7 @@
 func (r *Reducer) viewChanged(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
 	out = reduceIn(r.Upstreams, now, v, e, out)
 	out = reduceIn(r.Gathers, now, v, e, out)
+	out = reduceIn(r.Requests, now, v, e, out)
 	return reduceIn(r.Queries, now, v, e, out)
 }
 
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -28,6 +28,10 @@
 		r.background(func(ctx context.Context) { r.readDocument(ctx, f) })
 	case *almondstep.TakeZoneLease:
 		r.background(func(ctx context.Context) { r.takeZoneLease(ctx, f) })
+	case *almondstep.ReadRegistry:
+		r.background(func(ctx context.Context) { r.readRegistry(ctx, f) })
+	case *almondstep.AnnounceDaemon:
+		r.background(func(ctx context.Context) { r.announce(ctx, f) })
 	case *almondstep.Report:
 		r.report(f)
 	default:
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -39,6 +39,12 @@
 		t.replyCaller(f)
 	case *almondstep.ClaimKey:
 		t.claimKey(f)
+	case *almondstep.SendCall:
+		t.sendCall(f)
+	case *almondstep.CancelCall:
+		t.cancelCall(f)
+	case *almondstep.ReplyRequest:
+		t.replyRequest(f)
 	default:
 		t.performTimer(f)
 	}
@@ -49,6 +55,8 @@
 	switch f := f.(type) {
 	case *almondstep.SetQueryTimer:
 		r.after(f.After, t, &almondstep.QueryTimer{ID: f.ID, What: f.What, Attempt: f.Attempt})
+	case *almondstep.SetRequestTimer:
+		r.after(f.After, t, &almondstep.RequestTimer{ID: f.ID})
 	case *almondstep.SetGatherTimer:
 		r.after(f.After, t, &almondstep.GatherTimer{ID: f.ID, Attempt: f.Attempt, What: f.What})
 	case *almondstep.SetUpstreamTimer:
--- /dev/null
+++ b/runner/requests.go
@@ -0,0 +1,94 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+)
+
+var _ almondstep.Forwarder = (*Runner)(nil)
+
+// Forward answers a caller's request for a route. When the caller goes away
+// first, its calls are given up and the reply says that the outcome is unknown.
+func (r *Runner) Forward(ctx context.Context, e *almondstep.RequestArrived) *almondstep.Reply {
+	t := r.queryThread(e.ID)
+	reply := make(chan *almondstep.Reply, 1)
+	t.waitersMu.Lock()
+	t.requesters[e.ID] = reply
+	t.waitersMu.Unlock()
+	t.push(e)
+	var answer *almondstep.Reply
+	select {
+	case answer = <-reply:
+	case <-ctx.Done():
+		t.waitersMu.Lock()
+		delete(t.requesters, e.ID)
+		t.waitersMu.Unlock()
+		t.push(&almondstep.RequesterGone{ID: e.ID})
+		answer = &almondstep.Reply{Outcome: almondstep.OutcomeUnknown, Code: almondstep.CodeCallerGone}
+	}
+	r.Recorder.Replied(answer.Trace.Route, answer)
+	return answer
+}
+
+func (t *thread) replyRequest(f *almondstep.ReplyRequest) {
+	t.waitersMu.Lock()
+	reply, ok := t.requesters[f.ID]
+	delete(t.requesters, f.ID)
+	t.waitersMu.Unlock()
+	if ok {
+		reply <- f.Reply
+	}
+}
+
+// requestCalls is the key under which the calls of routed requests are kept
+// among those in flight: their numbers are unique on a thread.
+const requestCalls = almondstep.Address("")
+
+func (t *thread) sendCall(c *almondstep.SendCall) {
+	r := t.runner
+	ctx, cancel := context.WithTimeout(r.life.ctx(), c.Timeout)
+	t.calls.add(requestCalls, c.Call, cancel)
+	r.background(func(context.Context) {
+		ended := r.Exchanger.Exchange(ctx, c)
+		t.calls.cancel(requestCalls, c.Call)
+		r.Recorder.Attempted(c.Upstream.Service, ended.Result, ended.Took)
+		t.push(ended)
+	})
+}
+
+func (t *thread) cancelCall(f *almondstep.CancelCall) {
+	if f.After <= 0 {
+		t.calls.cancel(requestCalls, f.Call)
+		return
+	}
+	time.AfterFunc(f.After, func() { t.calls.cancel(requestCalls, f.Call) })
+}
+
+// readRegistry reads all of the registry or waits for what changes in it.
+func (r *Runner) readRegistry(ctx context.Context, f *almondstep.ReadRegistry) {
+	e := &almondstep.RegistryRead{Whole: f.After == 0}
+	var err error
+	if e.Whole {
+		e.Changes, err = r.Registry.ReadAll(ctx)
+	} else {
+		e.Changes, err = r.Registry.Watch(ctx, f.After, f.Wait)
+	}
+	if err != nil {
+		e.Err = err.Error()
+		e.Compacted = errors.Is(err, almondstep.ErrStale)
+	}
+	r.control.push(e)
+}
+
+func (r *Runner) announce(ctx context.Context, f *almondstep.AnnounceDaemon) {
+	e := &almondstep.DaemonAnnounced{}
+	if err := r.Registry.Announce(ctx, f.TTL); err != nil {
+		e.Err = err.Error()
+		r.Logger.Debug("lease not renewed", "err", err)
+	}
+	r.control.push(e)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,6 +43,9 @@
 	Claims   almondstep.Claimer
 	Recorder almondstep.Recorder
 	Logger   hclog.Logger
+	// Registry and Exchanger serve routed requests; nil if there are none.
+	Registry  almondstep.Registry
+	Exchanger almondstep.Exchanger
 
 	start   time.Time
 	view    atomic.Pointer[almondstep.View]
--- a/runner/thread.go
+++ b/runner/thread.go
@@ -25,9 +25,10 @@
 	local   []almondstep.Event
 	calls   attemptCancels
 
-	waitersMu sync.Mutex
-	callers   map[almondstep.QueryID]chan *almondstep.Answer
-	gathers   map[gatherKey]gatherWaiter
+	waitersMu  sync.Mutex
+	callers    map[almondstep.QueryID]chan *almondstep.Answer
+	gathers    map[gatherKey]gatherWaiter
+	requesters map[almondstep.QueryID]chan *almondstep.Reply
 }
 
 // gatherKey names a Work at its owner.
@@ -44,11 +45,12 @@
 
 func newThread(r *Runner, red *reducer.Reducer) *thread {
 	t := &thread{
-		runner:  r,
-		reducer: red,
-		wake:    make(chan struct{}, 1),
-		callers: make(map[almondstep.QueryID]chan *almondstep.Answer),
-		gathers: make(map[gatherKey]gatherWaiter),
+		runner:     r,
+		reducer:    red,
+		wake:       make(chan struct{}, 1),
+		callers:    make(map[almondstep.QueryID]chan *almondstep.Answer),
+		gathers:    make(map[gatherKey]gatherWaiter),
+		requesters: make(map[almondstep.QueryID]chan *almondstep.Reply),
 	}
 	t.calls.init()
 	return t
--- a/storer/calls.go
+++ b/storer/calls.go
@@ -22,7 +22,7 @@
 // Get reads a key. An absent key has revision 0 and no error.
 func (c *Client) Get(ctx context.Context, key string) (almondstep.Entry, error) {
 	c.init()
-	q := request{method: http.MethodGet, path: pathKV, query: url.Values{"key": {key}}}
+	q := Request{Method: http.MethodGet, Path: pathKV, Query: url.Values{"key": {key}}}
 	return c.read(ctx, "get", c.Timeout, q)
 }
 
@@ -32,35 +32,35 @@
 // and the grace is dropped, and ErrUnavailable returned.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (almondstep.Entry, error) {
 	c.init()
-	q := request{method: http.MethodGet, path: pathKV, query: waiting(after, wait)}
-	q.query.Set("key", key)
+	q := Request{Method: http.MethodGet, Path: pathKV, Query: waiting(after, wait)}
+	q.Query.Set("key", key)
 	return c.read(ctx, "watch", wait+c.Grace, q)
 }
 
-func (c *Client) read(ctx context.Context, kind string, timeout time.Duration, q request) (almondstep.Entry, error) {
-	a, err := c.do(ctx, kind, timeout, q)
+func (c *Client) read(ctx context.Context, kind string, timeout time.Duration, q Request) (almondstep.Entry, error) {
+	a, err := c.Call(ctx, kind, timeout, q)
 	if err != nil {
 		return almondstep.Entry{}, err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusOK, http.StatusNotFound, http.StatusNotModified:
 	default:
-		return almondstep.Entry{}, a.unexpected()
+		return almondstep.Entry{}, a.Unexpected()
 	}
 	revision, err := a.revision()
 	if err != nil {
 		return almondstep.Entry{}, err
 	}
-	if (a.status == http.StatusNotFound) != (revision == 0) {
-		return almondstep.Entry{}, errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d with revision %d", a.status, revision)
+	if (a.Status == http.StatusNotFound) != (revision == 0) {
+		return almondstep.Entry{}, errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d with revision %d", a.Status, revision)
 	}
 	switch {
 	case revision == 0:
 		return almondstep.Entry{}, nil
-	case a.status == http.StatusNotModified:
+	case a.Status == http.StatusNotModified:
 		return almondstep.Entry{Revision: revision}, nil
 	}
-	return almondstep.Entry{Revision: revision, Value: a.body}, nil
+	return almondstep.Entry{Revision: revision, Value: a.Body}, nil
 }
 
 // CompareAndSwap writes a key whose revision is still base, 0 for an absent
@@ -68,15 +68,15 @@
 // after ErrUnavailable it may have been.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, base uint64, value []byte) (uint64, error) {
 	c.init()
-	q := request{method: http.MethodPut, path: pathKV, body: value, query: url.Values{
+	q := Request{Method: http.MethodPut, Path: pathKV, Body: value, Query: url.Values{
 		"key":  {key},
 		"base": {strconv.FormatUint(base, 10)},
 	}}
-	a, err := c.do(ctx, "swap", c.Timeout, q)
+	a, err := c.Call(ctx, "swap", c.Timeout, q)
 	if err != nil {
 		return 0, err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusOK:
 		return a.revision()
 	case http.StatusConflict:
@@ -86,7 +86,7 @@
 		}
 		return 0, errors.Wrapf(almondstep.ErrConflict, "key %q is no longer at revision %d", key, base)
 	default:
-		return 0, a.unexpected()
+		return 0, a.Unexpected()
 	}
 }
 
@@ -94,22 +94,22 @@
 // between the call and its return, so the caller counts it from the call.
 func (c *Client) Lease(ctx context.Context, key, holder string, ttl time.Duration) error {
 	c.init()
-	q := request{method: http.MethodPut, path: pathLease, query: url.Values{
+	q := Request{Method: http.MethodPut, Path: pathLease, Query: url.Values{
 		"key":       {key},
 		"holder":    {holder},
 		"ttlMillis": {strconv.FormatInt(ttl.Milliseconds(), 10)},
 	}}
-	a, err := c.do(ctx, "lease", c.Timeout, q)
+	a, err := c.Call(ctx, "lease", c.Timeout, q)
 	if err != nil {
 		return err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusNoContent:
 		return nil
 	case http.StatusConflict:
 		return errors.Wrapf(almondstep.ErrConflict, "lease %q has another holder", key)
 	default:
-		return a.unexpected()
+		return a.Unexpected()
 	}
 }
 
@@ -117,19 +117,19 @@
 // still at after comes as its revision alone.
 func (c *Client) Fleet(ctx context.Context, after almondstep.Revision, wait time.Duration) (almondstep.Fleet, error) {
 	c.init()
-	q := request{method: http.MethodGet, path: pathFleet, query: waiting(uint64(after), wait)}
-	a, err := c.do(ctx, "fleet", wait+c.Grace, q)
+	q := Request{Method: http.MethodGet, Path: pathFleet, Query: waiting(uint64(after), wait)}
+	a, err := c.Call(ctx, "fleet", wait+c.Grace, q)
 	if err != nil {
 		return almondstep.Fleet{}, err
 	}
-	if a.status == http.StatusNotModified {
+	if a.Status == http.StatusNotModified {
 		return almondstep.Fleet{Revision: after}, nil
 	}
-	if a.status != http.StatusOK {
-		return almondstep.Fleet{}, a.unexpected()
+	if a.Status != http.StatusOK {
+		return almondstep.Fleet{}, a.Unexpected()
 	}
 	var f almondstep.Fleet
-	if err := json.Unmarshal(a.body, &f); err != nil {
+	if err := json.Unmarshal(a.Body, &f); err != nil {
 		return almondstep.Fleet{}, errors.Wrapf(almondstep.ErrUnavailable, "list of VMs: %v", err)
 	}
 	return f, nil
--- a/storer/client.go
+++ b/storer/client.go
@@ -83,10 +83,11 @@
 	c.transport.CloseIdleConnections()
 }
 
-// do sends one request and reads the answer's body, all within the timeout.
+// Call sends one request, counted under kind, and reads the answer's body, all
+// within the timeout. Other forms of the platform's service are built on it.
 // After a failure the idle connections are dropped: whatever has cut or
 // silenced one has likely done so to the others.
-func (c *Client) do(ctx context.Context, kind string, timeout time.Duration, req request) (answer, error) {
+func (c *Client) Call(ctx context.Context, kind string, timeout time.Duration, req Request) (Answer, error) {
 	c.init()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/storer/exchange.go
+++ b/storer/exchange.go
@@ -21,19 +21,21 @@
 	maxAnswerBytes = 8 << 20
 )
 
-// request is one call before it is sent.
-type request struct {
-	method string
-	path   string
-	query  url.Values
-	body   []byte
+// Request is one call before it is sent.
+type Request struct {
+	Method string
+	Path   string
+	Query  url.Values
+	Body   []byte
+	// ContentType is the form of the body; empty leaves it out.
+	ContentType string
 }
 
-// answer is one call's answer, read in full.
-type answer struct {
-	status int
-	header http.Header
-	body   []byte
+// Answer is one call's answer, read in full.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
 }
 
 func newTransport() *http.Transport {
@@ -49,46 +51,49 @@
 
 // exchange returns ErrUnavailable whatever went wrong on the way, a refused
 // connection included.
-func (c *Client) exchange(ctx context.Context, q request) (answer, error) {
+func (c *Client) exchange(ctx context.Context, q Request) (Answer, error) {
 	var body io.Reader
-	if q.body != nil {
+	if q.Body != nil {
 		// A plain reader can't be rewound, so net/http can't send it twice.
-		body = io.MultiReader(bytes.NewReader(q.body))
+		body = io.MultiReader(bytes.NewReader(q.Body))
 	}
-	r, err := http.NewRequestWithContext(ctx, q.method, c.Base+q.path+"?"+q.query.Encode(), body)
+	r, err := http.NewRequestWithContext(ctx, q.Method, c.Base+q.Path+"?"+q.Query.Encode(), body)
 	if err != nil {
-		return answer{}, errors.Mark(err, almondstep.ErrInvalid)
+		return Answer{}, errors.Mark(err, almondstep.ErrInvalid)
+	}
+	r.ContentLength = int64(len(q.Body))
+	if q.ContentType != "" {
+		r.Header.Set("Content-Type", q.ContentType)
 	}
-	r.ContentLength = int64(len(q.body))
 	resp, err := c.service.DoRequest(r)
 	if err != nil {
-		return answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.method, q.path), almondstep.ErrUnavailable)
+		return Answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.Method, q.Path), almondstep.ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	read, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.method, q.path), almondstep.ErrUnavailable)
+		return Answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.Method, q.Path), almondstep.ErrUnavailable)
 	}
 	if len(read) > maxAnswerBytes {
-		return answer{}, errors.Mark(errors.Newf("%s %s: the answer is too large", q.method, q.path), almondstep.ErrUnavailable)
+		return Answer{}, errors.Mark(errors.Newf("%s %s: the answer is too large", q.Method, q.Path), almondstep.ErrUnavailable)
 	}
-	return answer{status: resp.StatusCode, header: resp.Header, body: read}, nil
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: read}, nil
 }
 
-// unexpected is the error for a status the call doesn't know.
-func (a answer) unexpected() error {
-	if a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError {
-		return errors.Wrapf(almondstep.ErrInvalid, "platform answered %d: %.100s", a.status, a.body)
+// Unexpected is the error for a status the call doesn't know.
+func (a Answer) Unexpected() error {
+	if a.Status >= http.StatusBadRequest && a.Status < http.StatusInternalServerError {
+		return errors.Wrapf(almondstep.ErrInvalid, "platform answered %d: %.100s", a.Status, a.Body)
 	}
-	return errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d", a.status)
+	return errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d", a.Status)
 }
 
 // revision reads the revision that every answer about a key must carry. An
 // answer without one isn't the platform's.
-func (a answer) revision() (uint64, error) {
-	n, err := strconv.ParseUint(a.header.Get(revisionHeader), 10, 64)
+func (a Answer) revision() (uint64, error) {
+	n, err := strconv.ParseUint(a.Header.Get(revisionHeader), 10, 64)
 	if err != nil {
-		return 0, errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d without a revision", a.status)
+		return 0, errors.Wrapf(almondstep.ErrUnavailable, "platform answered %d without a revision", a.Status)
 	}
 	return n, nil
 }
--- a/view.go
+++ b/view.go
@@ -15,6 +15,7 @@
 	quarantined map[Fingerprint]struct{}
 	peers       map[DaemonID]Address
 	stopping    bool
+	directory   *Directory
 }
 
 // Placement says who serves the shards of one service at one version.
@@ -134,6 +135,8 @@
 	Peers       map[DaemonID]Address
 	// Stopping refuses forwarded work that is new.
 	Stopping bool
+	// Directory has the routes and their upstreams; nil if the daemon serves none.
+	Directory *Directory
 }
 
 // NewView freezes the parts into a view. The caller must not change them after.
@@ -151,6 +154,7 @@
 		quarantined: p.Quarantined,
 		peers:       p.Peers,
 		stopping:    p.Stopping,
+		directory:   p.Directory,
 	}
 }
 
@@ -213,3 +217,6 @@
 
 // Peers has the addresses of the other daemons. The caller must not change it.
 func (v *View) Peers() map[DaemonID]Address { return v.peers }
+
+// Directory has the routes and their upstreams; nil if the daemon serves none.
+func (v *View) Directory() *Directory { return v.directory }
--- /dev/null
+++ b/watcher/apply.go
@@ -0,0 +1,168 @@
+package watcher
+
+import (
+	"almondstep"
+)
+
+// apply takes changes in and says whether anything that a view shows is new.
+func (w *Watcher) apply(now almondstep.Instant, e *almondstep.RegistryRead) bool {
+	c := e.Changes
+	changed := w.applyRoutes(c.Routes)
+	if e.Whole {
+		changed = w.dropUnlisted(now, c) || changed
+	}
+	for _, u := range c.Upstreams {
+		changed = w.applyUpstream(now, u) || changed
+	}
+	for _, z := range c.ZonesOut {
+		changed = changed || w.zonesOut[z.Zone] != z.Out
+		w.zonesOut[z.Zone] = z.Out
+	}
+	for _, d := range c.Daemons {
+		w.applyDaemon(now, d)
+	}
+	return changed || w.shared != w.sharing(now)
+}
+
+// applyRoutes takes a newer table; an older one never comes back in force.
+func (w *Watcher) applyRoutes(t *almondstep.RouteTable) bool {
+	if t == nil || w.routes != nil && t.Version() <= w.routes.Version() {
+		return false
+	}
+	w.routes = t
+	return true
+}
+
+func (w *Watcher) applyUpstream(now almondstep.Instant, c almondstep.UpstreamChange) bool {
+	held, known := w.entries[c.Key]
+	if known && c.Revision < held.revision {
+		return false
+	}
+	if c.Upstream == nil {
+		return w.remove(now, c.Key)
+	}
+	w.entries[c.Key] = &entry{upstream: c.Upstream, revision: c.Revision}
+	return true
+}
+
+// remove drops an entry, at once or, if it may have lapsed in an outage, a
+// moment later.
+func (w *Watcher) remove(now almondstep.Instant, key string) bool {
+	held, known := w.entries[key]
+	if !known {
+		return false
+	}
+	if w.failedAt == 0 || now.Sub(w.failedAt) > outageHolds {
+		delete(w.entries, key)
+		return true
+	}
+	if held.goneAt == 0 {
+		held.goneAt = now.Add(LapseGrace)
+	}
+	return false
+}
+
+// dropUnlisted removes what a whole reading no longer shows.
+func (w *Watcher) dropUnlisted(now almondstep.Instant, c *almondstep.RegistryChanges) bool {
+	listed := make(map[string]bool, len(c.Upstreams))
+	for _, u := range c.Upstreams {
+		listed[u.Key] = true
+	}
+	changed := false
+	for key := range w.entries {
+		if !listed[key] {
+			changed = w.remove(now, key) || changed
+		}
+	}
+	out := make(map[almondstep.ZoneName]bool, len(c.ZonesOut))
+	for _, z := range c.ZonesOut {
+		out[z.Zone] = z.Out
+	}
+	for zone, was := range w.zonesOut {
+		changed = changed || was != out[zone]
+		w.zonesOut[zone] = out[zone]
+	}
+	alive := make(map[almondstep.DaemonID]bool, len(c.Daemons))
+	for _, d := range c.Daemons {
+		alive[d.Daemon] = d.Alive
+	}
+	for id := range w.daemons {
+		if !alive[id] {
+			w.applyDaemon(now, almondstep.DaemonChange{Daemon: id})
+		}
+	}
+	return changed
+}
+
+func (w *Watcher) applyDaemon(now almondstep.Instant, c almondstep.DaemonChange) {
+	d, known := w.daemons[c.Daemon]
+	if !known {
+		if !c.Alive {
+			return
+		}
+		d = &daemon{}
+		w.daemons[c.Daemon] = d
+	}
+	if d.alive && !c.Alive {
+		d.goneAt = now.Add(daemonHolds)
+	}
+	d.alive = c.Alive
+}
+
+// expire drops the lapsed entries that have not come back.
+func (w *Watcher) expire(now almondstep.Instant) bool {
+	changed := false
+	for key, held := range w.entries {
+		if held.goneAt != 0 && now >= held.goneAt {
+			delete(w.entries, key)
+			changed = true
+		}
+	}
+	for id, d := range w.daemons {
+		if !d.alive && now >= d.goneAt {
+			delete(w.daemons, id)
+		}
+	}
+	return changed
+}
+
+// sharing is the number of daemons among which bounds are shared.
+func (w *Watcher) sharing(almondstep.Instant) int { return max(1, len(w.daemons)) }
+
+// publish makes a view of what is known.
+func (w *Watcher) publish(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	w.shared = w.sharing(now)
+	upstreams := make(map[almondstep.ServiceName][]*almondstep.Upstream)
+	for _, key := range sortedKeys(w.entries) {
+		u := w.entries[key].upstream
+		if !u.Leaving && !w.zonesOut[u.Zone] {
+			upstreams[u.Service] = append(upstreams[u.Service], u)
+		}
+	}
+	parts := almondstep.ViewParts{
+		Self:     w.cfg.Self,
+		Zone:     w.cfg.Zone,
+		Unready:  w.unready(),
+		Stopping: w.stopping,
+		Directory: almondstep.NewDirectory(almondstep.DirectoryParts{
+			Routes:    w.routes,
+			Upstreams: upstreams,
+			Daemons:   w.shared,
+		}),
+	}
+	if w.routes != nil {
+		parts.Revision = almondstep.Revision(w.routes.Version())
+	}
+	return append(out, &almondstep.PublishView{View: almondstep.NewView(parts)})
+}
+
+func (w *Watcher) unready() string {
+	switch {
+	case w.stopping:
+		return "stopping"
+	case w.routes == nil:
+		return "no routes yet"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,168 @@
+package watcher
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// watchPause is the least time between two watches, so that one call brings
+	// what changes in a burst.
+	watchPause = 250 * time.Millisecond
+	// failurePause is the time after which a failed read is tried again.
+	failurePause = 250 * time.Millisecond
+	// DefaultWatchWait is how long a watch waits for a change.
+	DefaultWatchWait = 2 * time.Second
+	// LapseGrace is how long an entry that lapsed while the registry was away is
+	// still used after its return.
+	LapseGrace = 2200 * time.Millisecond
+	// outageHolds is how long after a failed read a removal may still be a lapse.
+	outageHolds = 2500 * time.Millisecond
+	// leaseTTL and renewEvery keep this daemon's own entry.
+	leaseTTL   = 8 * time.Second
+	renewEvery = 2500 * time.Millisecond
+	// daemonHolds is how long a daemon whose lease has ended still counts among
+	// those that share a bound: it may live on behind a cut.
+	daemonHolds = 30 * time.Second
+)
+
+// Config sets a Watcher up.
+type Config struct {
+	Self almondstep.DaemonID
+	Zone almondstep.ZoneName
+	// WatchWait is how long a watch waits for a change; 0 means DefaultWatchWait.
+	WatchWait time.Duration
+}
+
+// Watcher is the control partition.
+type Watcher struct {
+	cfg      Config
+	routes   *almondstep.RouteTable
+	entries  map[string]*entry
+	zonesOut map[almondstep.ZoneName]bool
+	daemons  map[almondstep.DaemonID]*daemon
+	stopping bool
+	// revision is what the registry was last read at; 0 asks for all of it.
+	revision   uint64
+	reading    bool
+	readAt     almondstep.Instant
+	announcing bool
+	announceAt almondstep.Instant
+	failed     bool
+	failedAt   almondstep.Instant
+	shared     int
+}
+
+// entry is an upstream's entry in the registry.
+type entry struct {
+	upstream *almondstep.Upstream
+	revision uint64
+	// goneAt is when a lapsed entry is dropped; 0 if it isn't lapsed.
+	goneAt almondstep.Instant
+}
+
+// daemon is another daemon's entry, or this one's.
+type daemon struct {
+	alive bool
+	// goneAt is when a daemon without a lease no longer counts.
+	goneAt almondstep.Instant
+}
+
+// New makes a Watcher that knows nothing yet.
+func New(cfg Config) *Watcher {
+	if cfg.WatchWait == 0 {
+		cfg.WatchWait = DefaultWatchWait
+	}
+	return &Watcher{
+		cfg:      cfg,
+		entries:  make(map[string]*entry),
+		zonesOut: make(map[almondstep.ZoneName]bool),
+		daemons:  make(map[almondstep.DaemonID]*daemon),
+	}
+}
+
+// Reduce takes one event and appends what is to be done to out.
+func (w *Watcher) Reduce(now almondstep.Instant, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	switch e := e.(type) {
+	case *almondstep.ControlTick:
+		return w.tick(now, out)
+	case *almondstep.RegistryRead:
+		return w.read(now, e, out)
+	case *almondstep.DaemonAnnounced:
+		w.announced(now, e)
+	case *almondstep.StopRequested:
+		w.stopping = true
+		return w.publish(now, out)
+	}
+	return out
+}
+
+func (w *Watcher) tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if w.expire(now) || w.shared != w.sharing(now) {
+		out = w.publish(now, out)
+	}
+	if !w.reading && now >= w.readAt {
+		w.reading = true
+		out = append(out, &almondstep.ReadRegistry{After: w.revision, Wait: w.cfg.WatchWait})
+	}
+	if !w.announcing && !w.stopping && now >= w.announceAt {
+		w.announcing = true
+		out = append(out, &almondstep.AnnounceDaemon{TTL: leaseTTL})
+	}
+	return out
+}
+
+func (w *Watcher) announced(now almondstep.Instant, e *almondstep.DaemonAnnounced) {
+	w.announcing = false
+	w.announceAt = now.Add(renewEvery)
+	if e.Err != "" {
+		w.announceAt = now.Add(failurePause)
+	}
+}
+
+// read takes in what was read, or that nothing could be.
+func (w *Watcher) read(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
+	w.reading = false
+	w.readAt = now.Add(watchPause)
+	if e.Compacted {
+		w.revision = 0
+		w.readAt = now
+		return append(out, report("registry history is gone, reading all of it", w.cfg.Self))
+	}
+	if e.Err != "" {
+		return w.lost(now, e, out)
+	}
+	if w.failed {
+		w.failed = false
+		out = append(out, report("registry regained", w.cfg.Self))
+	}
+	if !e.Whole && e.Changes.Empty() {
+		// The watch has waited its time already.
+		w.readAt = now
+	}
+	changed := w.apply(now, e)
+	w.revision = max(w.revision, e.Changes.Revision)
+	if changed {
+		out = w.publish(now, out)
+	}
+	return out
+}
+
+func (w *Watcher) lost(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
+	w.readAt = now.Add(failurePause)
+	w.failedAt = now
+	if w.failed {
+		return out
+	}
+	w.failed = true
+	return append(out, &almondstep.Report{
+		Level:   almondstep.ReportWarn,
+		Message: "registry lost, going on with what is known: " + e.Err,
+		Subject: string(w.cfg.Self),
+	})
+}
+
+func report(message string, self almondstep.DaemonID) *almondstep.Report {
+	return &almondstep.Report{Level: almondstep.ReportInfo, Message: message, Subject: string(self)}
+}
