--- /dev/null
+++ b/exchanger/client_test.go
@@ -0,0 +1,320 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/exchanger"
+)
+
+// dialect takes every 200 with the request's key as done.
+type dialect struct{}
+
+func (dialect) Fields(*almondstep.SendCall) almondstep.Header {
+	return almondstep.Header{{Name: "Own", Value: "1"}}
+}
+
+func (dialect) Judge(c *almondstep.SendCall, r *almondstep.ResponseMessage, into *almondstep.CallEnded) {
+	into.Result = almondstep.CallRejected
+	if r.Header.Get("Key") != c.Request.Key {
+		into.Result = almondstep.CallSpoiled
+	} else if r.Status == http.StatusOK {
+		into.Result = almondstep.CallDone
+	}
+}
+
+// upstream is a server whose every answer a test writes byte by byte.
+type upstream struct {
+	addr     almondstep.Address
+	conns    atomic.Int32
+	requests atomic.Int32
+	closed   chan struct{}
+}
+
+// serve answers each request with the bytes that answer gives; no bytes close
+// the connection.
+func serve(t *testing.T, answer func(n int, key string) string) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{addr: almondstep.Address(l.Addr().String()), closed: make(chan struct{}, 100)}
+	var open sync.WaitGroup
+	open.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			open.Go(func() { u.talk(c, answer) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return u
+}
+
+func (u *upstream) talk(c net.Conn, answer func(int, string) string) {
+	defer func() {
+		_ = c.Close()
+		u.closed <- struct{}{}
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := answer(int(u.requests.Add(1)), req.Header.Get("Key"))
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+func reply(key, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nKey: %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+}
+
+func client(t *testing.T) *exchanger.Client {
+	t.Helper()
+	c := &exchanger.Client{Dialect: dialect{}}
+	t.Cleanup(c.Close)
+	return c
+}
+
+var lastKey atomic.Int64
+
+func call(u *upstream) *almondstep.SendCall {
+	key := fmt.Sprint(lastKey.Add(1))
+	return &almondstep.SendCall{
+		Call:     1,
+		Upstream: &almondstep.Upstream{ID: "u", Addr: u.addr},
+		Request: &almondstep.RequestMessage{
+			Key: key, Method: "GET", Target: "/x?y=1", Host: "h.example",
+			Header: almondstep.Header{{Name: "Key", Value: key}},
+		},
+		Timeout: time.Second, Connections: 2,
+	}
+}
+
+func exchange(t *testing.T, c *exchanger.Client, call *almondstep.SendCall) *almondstep.CallEnded {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+	defer cancel()
+	return c.Exchange(ctx, call)
+}
+
+// One connection carries one call after the other.
+func TestConnectionIsKept(t *testing.T) {
+	u := serve(t, func(_ int, key string) string { return reply(key, "lots") })
+	c := client(t)
+	for range 5 {
+		e := exchange(t, c, call(u))
+		if got, want := e.Result, almondstep.CallDone; got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if got, want := string(e.Response.Body), "lots"; got != want {
+			t.Errorf("got body %q, want %q", got, want)
+		}
+	}
+	if got, want := u.conns.Load(), int32(1); got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+}
+
+// A second answer to a request is never taken for the answer to the next one.
+func TestExtraAnswerBelongsToNoRequest(t *testing.T) {
+	u := serve(t, func(_ int, key string) string { return reply(key, "one") + reply(key, "extra") })
+	c := client(t)
+	for range 5 {
+		cl := call(u)
+		e := exchange(t, c, cl)
+		if e.Result != almondstep.CallDone || string(e.Response.Body) != "one" || e.Response.Header.Get("Key") != cl.Request.Key {
+			t.Fatalf("got %v %+v, want the request's own answer", e.Result, e.Response)
+		}
+	}
+}
+
+// A late extra answer, sent while the connection is idle, closes it.
+func TestUnaskedBytesCloseTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	gone := make(chan struct{})
+	go func() {
+		cn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(cn)
+		req, _ := http.ReadRequest(r)
+		_, _ = io.WriteString(cn, reply(req.Header.Get("Key"), "one"))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(cn, reply("other", "extra"))
+		_, _ = r.ReadByte()
+		close(gone)
+	}()
+	u := &upstream{addr: almondstep.Address(l.Addr().String())}
+	c := client(t)
+	if got, want := exchange(t, c, call(u)).Result, almondstep.CallDone; got != want {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection stays open after bytes that nobody asked for")
+	}
+}
+
+// An answer to another request is spoiled, and its connection isn't used again.
+func TestForeignAnswerIsSpoiled(t *testing.T) {
+	u := serve(t, func(n int, key string) string {
+		if n == 1 {
+			return reply("another", "x")
+		}
+		return reply(key, "x")
+	})
+	c := client(t)
+	if got, want := exchange(t, c, call(u)).Result, almondstep.CallSpoiled; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got, want := exchange(t, c, call(u)).Result, almondstep.CallDone; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got, want := u.conns.Load(), int32(2); got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+}
+
+// Answers that break off, or are none, are no answers; the request is sent once.
+func TestBrokenAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"no answer":      "",
+		"half a head":    "HTTP/1.1 200 OK\r\nKey: ",
+		"no HTTP":        "nuts and bolts\r\n\r\n",
+		"bad length":     "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+		"half a body":    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"half of chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := false
+			u := serve(t, func(int, string) string {
+				if sent {
+					return ""
+				}
+				sent = true
+				return text
+			})
+			cl := call(u)
+			cl.Timeout = 200 * time.Millisecond
+			e := exchange(t, client(t), cl)
+			if e.Result == almondstep.CallDone || e.Result.NotRun() || e.Response != nil {
+				t.Errorf("got %v %+v, want a call that may have run", e.Result, e.Response)
+			}
+			if got, want := u.requests.Load(), int32(1); got != want {
+				t.Errorf("got the request %d times, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Where nobody listens the call certainly hasn't run.
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{addr: almondstep.Address(l.Addr().String())}
+	_ = l.Close()
+	if got, want := exchange(t, client(t), call(u)).Result, almondstep.CallRefused; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// A canceled call closes its connection, so that the upstream can stop.
+func TestCancelReachesTheUpstream(t *testing.T) {
+	arrived := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	gone := make(chan struct{})
+	go func() {
+		cn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(cn)
+		_, _ = http.ReadRequest(r)
+		close(arrived)
+		_, _ = r.ReadByte()
+		close(gone)
+	}()
+	u := &upstream{addr: almondstep.Address(l.Addr().String())}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan *almondstep.CallEnded)
+	c := client(t)
+	go func() { ended <- c.Exchange(ctx, call(u)) }()
+	<-arrived
+	cancel()
+	if got, want := (<-ended).Result, almondstep.CallCanceled; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
+
+// No more connections are open than the call allows; a call that finds none in
+// time hasn't run.
+func TestConnectionsAreBounded(t *testing.T) {
+	hold := make(chan struct{})
+	u := serve(t, func(_ int, key string) string {
+		<-hold
+		return reply(key, "x")
+	})
+	c := client(t)
+	var calls sync.WaitGroup
+	for range 2 {
+		calls.Go(func() {
+			cl := call(u)
+			cl.Timeout = 10 * time.Second
+			if got, want := exchange(t, c, cl).Result, almondstep.CallDone; got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+	for u.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	third := call(u)
+	third.Timeout = 50 * time.Millisecond
+	if got, want := exchange(t, c, third).Result, almondstep.CallRefused; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	close(hold)
+	calls.Wait()
+	if got, want := u.conns.Load(), int32(2); got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,288 @@
+package forwarder_test
+
+import (
+	"testing"
+	"time"
+
+	"almondstep"
+)
+
+// An answer over shards has the greatest records of all parts and a signature
+// of each.
+func TestAllPartsAreMerged(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 4, nil))
+	w.ask(1, "/search/x")
+	for i, c := range w.order {
+		if got, want := c.Upstream.Region, near; got != want {
+			t.Errorf("call %d went to region %s, want %s", i, got, want)
+		}
+		w.end(c, almondstep.CallDone, record(byte('a'+i)))
+	}
+	r := w.replies[1]
+	if r == nil || r.Merged == nil {
+		t.Fatalf("got reply %+v, want a merged one", r)
+	}
+	if got, want := string(r.Merged.Records), record('d')+record('c')+record('b'); got != want {
+		t.Errorf("got records %q, want %q", got, want)
+	}
+	if got, want := len(r.Merged.Signatures), 4; got != want {
+		t.Errorf("got %d signatures, want %d", got, want)
+	}
+	if got, want := r.Outcome, almondstep.OutcomeComplete; got != want {
+		t.Errorf("got outcome %s, want %s", got, want)
+	}
+	if got, want := w.f.Open(), 0; got != want {
+		t.Errorf("got %d requests kept, want %d", got, want)
+	}
+}
+
+// A shard whose upstream pauses is asked of the other one in time, and the first
+// answer is taken.
+func TestPausedShardIsHedged(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 4, nil))
+	w.ask(1, "/search/x")
+	first := append([]*almondstep.SendCall(nil), w.order...)
+	for _, c := range first[1:] {
+		w.end(c, almondstep.CallDone, record('a'))
+	}
+	w.advance(80 * time.Millisecond)
+	calls := w.callsTo(shardName(0))
+	if got, want := len(calls), 2; got != want {
+		t.Fatalf("got %d calls to the paused shard, want %d", got, want)
+	}
+	if got, want := calls[1].Upstream.Region, far; got != want {
+		t.Errorf("the hedge went to %s, want %s", got, want)
+	}
+	w.end(calls[1], almondstep.CallDone, record('z'))
+	if r := w.replies[1]; r == nil || r.Outcome != almondstep.OutcomeComplete {
+		t.Fatalf("got reply %+v, want a complete one", r)
+	}
+	if _, ok := w.cancels[calls[0].Call]; !ok {
+		t.Error("the late call was not given up")
+	}
+	w.end(calls[0], almondstep.CallDone, record('y'))
+	if got, want := w.f.Open(), 0; got != want {
+		t.Errorf("got %d requests kept, want %d", got, want)
+	}
+}
+
+// With enough parts in, the answer leaves just before the latency target, with
+// all of them and the number of those missing.
+func TestPartialAnswerIsInTime(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 4, nil))
+	arrived := w.now
+	w.ask(1, "/search/x")
+	for _, c := range append([]*almondstep.SendCall(nil), w.order[1:]...) {
+		w.end(c, almondstep.CallDone, record('a'))
+	}
+	w.advance(time.Second)
+	r := w.replies[1]
+	if r == nil || r.Merged == nil {
+		t.Fatalf("got reply %+v, want a merged one", r)
+	}
+	if got, want := r.Merged.Missing, 1; got != want {
+		t.Errorf("got %d missing, want %d", got, want)
+	}
+	if got, want := len(r.Merged.Signatures), 3; got != want {
+		t.Errorf("got %d signatures, want %d", got, want)
+	}
+	if took := w.at[1].Sub(arrived); took >= 150*time.Millisecond || took < 100*time.Millisecond {
+		t.Errorf("answered after %v, want just before 150ms", took)
+	}
+}
+
+// With too few parts the request waits past the target, and answers as soon as
+// there are enough.
+func TestTooFewPartsWaitForMore(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 4, nil))
+	w.ask(1, "/search/x")
+	first := append([]*almondstep.SendCall(nil), w.order...)
+	w.end(first[0], almondstep.CallDone, record('a'))
+	w.end(first[1], almondstep.CallDone, record('a'))
+	w.advance(300 * time.Millisecond)
+	if r := w.replies[1]; r != nil {
+		t.Fatalf("got reply %+v with half of the shards, want none yet", r)
+	}
+	w.end(first[2], almondstep.CallDone, record('a'))
+	if r := w.replies[1]; r == nil || r.Outcome != almondstep.OutcomePartial {
+		t.Errorf("got reply %+v, want a partial one at once", r)
+	}
+}
+
+// When so many shards have failed that the answer can't be whole enough, the
+// caller is told at once, and not that nothing has run.
+func TestHopelessRequestEndsAtOnce(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 4, func(p *almondstep.RouteParts) { p.Attempts = 1 }))
+	w.ask(1, "/search/x")
+	first := append([]*almondstep.SendCall(nil), w.order...)
+	w.end(first[0], almondstep.CallBroken, "")
+	if r := w.replies[1]; r != nil {
+		t.Fatalf("got reply %+v with three shards out, want none", r)
+	}
+	w.end(first[1], almondstep.CallBroken, "")
+	r := w.replies[1]
+	if r == nil || r.Outcome != almondstep.OutcomeUnknown || r.Code != almondstep.CodeMissingShards {
+		t.Errorf("got reply %+v, want an unknown outcome for missing shards", r)
+	}
+	for _, c := range first[2:] {
+		if _, ok := w.cancels[c.Call]; !ok {
+			t.Errorf("call %d was not given up", c.Call)
+		}
+	}
+}
+
+// A request that isn't idempotent is sent again only after a call that certainly
+// hasn't run.
+func TestOneRunOfWhatIsNotIdempotent(t *testing.T) {
+	for _, c := range []struct {
+		result almondstep.CallResult
+		calls  int
+	}{
+		{almondstep.CallShed, 2},
+		{almondstep.CallRefused, 2},
+		{almondstep.CallMisdirected, 2},
+		{almondstep.CallBroken, 1},
+		{almondstep.CallTimeout, 1},
+		{almondstep.CallSpoiled, 1},
+		{almondstep.CallRejected, 1},
+	} {
+		t.Run(c.result.String(), func(t *testing.T) {
+			w := newWorld(t, bounds(), directory(t, 2, nil))
+			w.ask(1, "/order/x")
+			w.end(w.order[0], c.result, "")
+			w.advance(time.Millisecond)
+			if got, want := len(w.order), c.calls; got != want {
+				t.Errorf("got %d calls, want %d", got, want)
+			}
+			if c.calls == 1 && w.replies[1].Outcome == almondstep.OutcomeNotRun {
+				t.Error("the caller was told that it hasn't run")
+			}
+		})
+	}
+}
+
+// No hedge goes beside a call that isn't idempotent, however late it is.
+func TestNoHedgeOfWhatIsNotIdempotent(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 2, nil))
+	w.ask(1, "/order/x")
+	w.advance(2 * time.Second)
+	if got, want := len(w.order), 1; got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+	if r := w.replies[1]; r == nil || r.Code != almondstep.CodeDeadline || r.Outcome != almondstep.OutcomeUnknown {
+		t.Errorf("got reply %+v, want an unknown outcome at the deadline", r)
+	}
+}
+
+// Refusals that all upstreams give before they run anything are passed on as
+// such.
+func TestNotRunIsTrue(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 2, nil))
+	w.ask(1, "/order/x")
+	w.end(w.order[0], almondstep.CallShed, "")
+	w.end(w.order[1], almondstep.CallRefused, "")
+	r := w.replies[1]
+	if r == nil || r.Outcome != almondstep.OutcomeNotRun || r.RetryAfter <= 0 {
+		t.Errorf("got reply %+v, want notRun and when to come back", r)
+	}
+}
+
+// An upstream's own failure is passed on unchanged when no other answers.
+func TestUpstreamsFailureIsPassedOn(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 2, nil))
+	w.ask(1, "/one/x")
+	w.end(w.order[0], almondstep.CallRejected, "")
+	w.end(w.order[1], almondstep.CallRejected, "")
+	r := w.replies[1]
+	if r == nil || r.Response == nil || r.Response.Status != 500 {
+		t.Errorf("got reply %+v, want the upstream's 500", r)
+	}
+}
+
+// A shard is sent to no more upstreams than the route's attempts.
+func TestAttemptsBoundEachShard(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 3, func(p *almondstep.RouteParts) { p.Attempts = 1 }))
+	w.ask(1, "/search/x")
+	w.advance(2 * time.Second)
+	if got, want := len(w.order), 3; got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+}
+
+// Hedges and retries stay within this daemon's share of the retry budget.
+func TestRetryBudgetBoundsFurtherCalls(t *testing.T) {
+	cfg := bounds()
+	cfg.RetryRatio, cfg.RetrySlack = 0.1, 0
+	w := newWorld(t, cfg, directory(t, 1, nil))
+	const asked = 200
+	for i := range asked {
+		w.ask(almondstep.QueryID(i+1), "/one/x")
+		w.advance(5 * time.Millisecond)
+	}
+	w.advance(2 * time.Second)
+	if got, most := len(w.order)-asked, asked/10; got > most || got == 0 {
+		t.Errorf("got %d further calls of %d requests, want some and at most %d", got, asked, most)
+	}
+}
+
+// Upstreams outside the route's regions never see its requests.
+func TestRegionsAreKept(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 3, func(p *almondstep.RouteParts) {
+		p.Regions = []almondstep.RegionName{far}
+	}))
+	w.ask(1, "/search/x")
+	w.advance(2 * time.Second)
+	for _, c := range w.order {
+		if got, want := c.Upstream.Region, far; got != want {
+			t.Errorf("a call went to %s, want %s", got, want)
+		}
+	}
+	if got, want := len(w.order), 3; got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+}
+
+// When the caller goes away, its calls are given up at once.
+func TestCallsEndWithTheirCaller(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 3, nil))
+	w.ask(1, "/search/x")
+	w.reduce(&almondstep.RequesterGone{ID: 1})
+	for _, c := range w.order {
+		if after, ok := w.cancels[c.Call]; !ok || after != 0 {
+			t.Errorf("call %d: canceled %v after %v, want at once", c.Call, ok, after)
+		}
+		w.end(c, almondstep.CallCanceled, "")
+	}
+	if got, want := w.f.Open(), 0; got != want {
+		t.Errorf("got %d requests kept, want %d", got, want)
+	}
+}
+
+// Targets get requests in the proportion of their weights.
+func TestTargetsShareByWeight(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 2, nil))
+	for i := range 40 {
+		w.ask(almondstep.QueryID(i+1), "/split/x")
+		w.end(w.order[len(w.order)-1], almondstep.CallDone, "")
+	}
+	if got, want := len(w.callsTo(shardName(0))), 30; got != want {
+		t.Errorf("got %d calls to the target of weight 3 of 4, want %d", got, want)
+	}
+}
+
+// Without routes a request is refused as not run; a path of no route is unknown.
+func TestWhatIsNotRouted(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 2, nil))
+	w.ask(1, "/nothing/here")
+	if got, want := w.replies[1].Code, almondstep.CodeUnknownRoute; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	w.view = almondstep.NewView(almondstep.ViewParts{})
+	w.ask(2, "/search/x")
+	if got, want := w.replies[2].Code, almondstep.CodeNoConfiguration; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got := w.replies[2].RetryAfter; got <= 0 {
+		t.Errorf("got retry after %v, want above 0", got)
+	}
+}
--- /dev/null
+++ b/forwarder/random_test.go
@@ -0,0 +1,102 @@
+package forwarder_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"almondstep"
+)
+
+// In random histories each request is answered exactly once and by its
+// deadline, no shard is sent beyond its attempts, what isn't idempotent is never
+// sent again after it may have run, notRun is said only if nothing can have run,
+// and nothing is kept.
+func TestRandomHistories(t *testing.T) {
+	for seed := range int64(400) {
+		rng := rand.New(rand.NewSource(seed))
+		w := newWorld(t, bounds(), directory(t, 1+rng.Intn(6), nil))
+		play(t, w, rng, seed)
+	}
+}
+
+func play(t *testing.T, w *world, rng *rand.Rand, seed int64) {
+	t.Helper()
+	paths := []string{"/search/x", "/one/x", "/order/x", "/split/x"}
+	const asked = 12
+	path := map[almondstep.QueryID]string{}
+	arrived := map[almondstep.QueryID]almondstep.Instant{}
+	mayHaveRun := map[almondstep.QueryID]bool{}
+	for id := almondstep.QueryID(1); id <= asked; {
+		if rng.Intn(3) == 0 {
+			path[id], arrived[id] = paths[rng.Intn(len(paths))], w.now
+			w.ask(id, path[id])
+			id++
+		}
+		endSome(w, rng, mayHaveRun, path)
+		w.advance(time.Duration(rng.Intn(40)) * time.Millisecond)
+	}
+	w.advance(2 * time.Second)
+	for len(w.sent) > 0 {
+		endSome(w, rng, mayHaveRun, path)
+	}
+	for id := almondstep.QueryID(1); id <= asked; id++ {
+		r := w.replies[id]
+		if r == nil {
+			t.Fatalf("seed %d: request %v (%s) was not answered", seed, id, path[id])
+		}
+		if took := w.at[id].Sub(arrived[id]); took > time.Second {
+			t.Errorf("seed %d: request %v took %v", seed, id, took)
+		}
+		if r.Outcome == almondstep.OutcomeNotRun && mayHaveRun[id] {
+			t.Errorf("seed %d: request %v was said not to have run", seed, id)
+		}
+	}
+	checkSends(t, w, seed, path)
+	if got := w.f.Open(); got != 0 {
+		t.Errorf("seed %d: got %d requests kept, want 0", seed, got)
+	}
+}
+
+func endSome(w *world, rng *rand.Rand, mayHaveRun map[almondstep.QueryID]bool, path map[almondstep.QueryID]string) {
+	results := []almondstep.CallResult{
+		almondstep.CallDone, almondstep.CallDone, almondstep.CallDone, almondstep.CallShed, almondstep.CallRefused,
+		almondstep.CallBroken, almondstep.CallMisdirected, almondstep.CallRejected, almondstep.CallSpoiled,
+	}
+	for _, c := range w.order {
+		if w.sent[c.Call] == nil || rng.Intn(2) == 0 {
+			continue
+		}
+		result := results[rng.Intn(len(results))]
+		if !result.NotRun() && w.replies[c.ID] == nil {
+			mayHaveRun[c.ID] = true
+			if path[c.ID] == "/order/x" {
+				path[c.ID] = "/order/ran"
+			}
+		}
+		before := len(w.order)
+		w.end(c, result, record('a'))
+		if path[c.ID] == "/order/ran" && len(w.order) != before {
+			w.t.Errorf("request %v was sent again after it may have run", c.ID)
+		}
+		break
+	}
+}
+
+// checkSends checks that no upstream got a request twice and no shard more than
+// its attempts, refused calls aside.
+func checkSends(t *testing.T, w *world, seed int64, path map[almondstep.QueryID]string) {
+	t.Helper()
+	type target struct {
+		id       almondstep.QueryID
+		upstream almondstep.UpstreamID
+	}
+	seen := map[target]bool{}
+	for _, c := range w.order {
+		k := target{id: c.ID, upstream: c.Upstream.ID}
+		if seen[k] {
+			t.Errorf("seed %d: request %v (%s) was sent twice to %s", seed, c.ID, path[c.ID], c.Upstream.ID)
+		}
+		seen[k] = true
+	}
+}
--- /dev/null
+++ b/forwarder/world_test.go
@@ -0,0 +1,205 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/forwarder"
+)
+
+const (
+	near = almondstep.RegionName("near")
+	far  = almondstep.RegionName("far")
+)
+
+// world plays the upstreams and the clock around a forwarder.
+type world struct {
+	t       *testing.T
+	f       *forwarder.Forwarder
+	view    *almondstep.View
+	now     almondstep.Instant
+	sent    map[almondstep.CallID]*almondstep.SendCall
+	order   []*almondstep.SendCall
+	cancels map[almondstep.CallID]time.Duration
+	timers  map[almondstep.QueryID][]almondstep.Instant
+	replies map[almondstep.QueryID]*almondstep.Reply
+	at      map[almondstep.QueryID]almondstep.Instant
+}
+
+func bounds() forwarder.Config {
+	return forwarder.Config{
+		Zone: "a", Region: near, Seed: 1,
+		RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second,
+		ColdFactor: 1.5, ColdSlack: 5,
+	}
+}
+
+func newWorld(t *testing.T, cfg forwarder.Config, d *almondstep.Directory) *world {
+	t.Helper()
+	return &world{
+		t: t, f: forwarder.New(cfg), now: almondstep.Instant(time.Second),
+		view:    almondstep.NewView(almondstep.ViewParts{Directory: d}),
+		sent:    map[almondstep.CallID]*almondstep.SendCall{},
+		cancels: map[almondstep.CallID]time.Duration{},
+		timers:  map[almondstep.QueryID][]almondstep.Instant{},
+		replies: map[almondstep.QueryID]*almondstep.Reply{},
+		at:      map[almondstep.QueryID]almondstep.Instant{},
+	}
+}
+
+func (w *world) reduce(e almondstep.Event) {
+	w.t.Helper()
+	for _, f := range w.f.Reduce(w.now, w.view, e, nil) {
+		switch f := f.(type) {
+		case *almondstep.SendCall:
+			w.sent[f.Call] = f
+			w.order = append(w.order, f)
+		case *almondstep.CancelCall:
+			w.cancels[f.Call] = f.After
+		case *almondstep.SetRequestTimer:
+			w.timers[f.ID] = append(w.timers[f.ID], w.now.Add(f.After))
+		case *almondstep.ReplyRequest:
+			if w.replies[f.ID] != nil {
+				w.t.Fatalf("request %v was answered twice", f.ID)
+			}
+			w.replies[f.ID] = f.Reply
+			w.at[f.ID] = w.now
+		}
+	}
+}
+
+func (w *world) ask(id almondstep.QueryID, path string) {
+	w.t.Helper()
+	w.reduce(&almondstep.RequestArrived{ID: id, Remaining: time.Second, Request: &almondstep.RequestMessage{
+		Key: fmt.Sprint(id), Method: "GET", Target: path, Path: path, Host: "lots.example",
+	}})
+}
+
+// end ends a call after it was out for took.
+func (w *world) end(c *almondstep.SendCall, result almondstep.CallResult, body string) {
+	w.t.Helper()
+	e := &almondstep.CallEnded{ID: c.ID, Call: c.Call, Result: result, Took: 5 * time.Millisecond}
+	switch result {
+	case almondstep.CallDone:
+		e.Response = &almondstep.ResponseMessage{Status: 200, Body: []byte(body), Signature: "s-" + string(c.Upstream.ID)}
+	case almondstep.CallRejected:
+		e.Response = &almondstep.ResponseMessage{Status: 500, Signature: "s-" + string(c.Upstream.ID)}
+	}
+	delete(w.sent, c.Call)
+	w.reduce(e)
+}
+
+// advance moves the clock and lets the timers come due on the way.
+func (w *world) advance(d time.Duration) {
+	w.t.Helper()
+	until := w.now.Add(d)
+	for {
+		id, next := w.due(until)
+		if next == 0 {
+			break
+		}
+		w.now = max(w.now, next)
+		w.reduce(&almondstep.RequestTimer{ID: id})
+	}
+	w.now = until
+}
+
+// due takes the earliest timer that comes due by an instant; 0 if there is none.
+func (w *world) due(until almondstep.Instant) (almondstep.QueryID, almondstep.Instant) {
+	var id almondstep.QueryID
+	next, index := almondstep.Instant(0), 0
+	for q, all := range w.timers {
+		for i, at := range all {
+			if next == 0 || at < next || at == next && q < id {
+				id, next, index = q, at, i
+			}
+		}
+	}
+	if next > until {
+		return 0, 0
+	}
+	if next != 0 {
+		all := w.timers[id]
+		w.timers[id] = append(all[:index:index], all[index+1:]...)
+	}
+	return id, next
+}
+
+// callsTo lists the calls to a service in the order they were sent.
+func (w *world) callsTo(s almondstep.ServiceName) []*almondstep.SendCall {
+	var calls []*almondstep.SendCall
+	for _, c := range w.order {
+		if c.Upstream.Service == s {
+			calls = append(calls, c)
+		}
+	}
+	return calls
+}
+
+func shardName(i int) almondstep.ServiceName {
+	return almondstep.ServiceName(fmt.Sprintf("shard%d", i))
+}
+
+// record is a record of 16 equal bytes.
+func record(b byte) string {
+	r := make([]byte, 16)
+	for i := range r {
+		r[i] = b
+	}
+	return string(r)
+}
+
+// directory has routes over shards and over single services; each service has
+// one upstream near and one far.
+func directory(t *testing.T, shards int, change func(*almondstep.RouteParts)) *almondstep.Directory {
+	t.Helper()
+	over := almondstep.RouteParts{
+		Name: "search", Host: "lots.example", Prefix: "/search/", Idempotent: true, Timeout: time.Second,
+		LatencyTarget: 150 * time.Millisecond, Attempts: 2, Records: 3, LeastCoverage: 0.75,
+	}
+	for i := range shards {
+		over.Shards = append(over.Shards, shardName(i))
+	}
+	if change != nil {
+		change(&over)
+	}
+	single := over
+	single.Name, single.Prefix, single.Shards = "one", "/one/", nil
+	single.Targets = []almondstep.RouteTarget{{Service: shardName(0), Weight: 1}}
+	order := single
+	order.Name, order.Prefix, order.Idempotent = "order", "/order/", false
+	split := single
+	split.Name, split.Prefix = "split", "/split/"
+	split.Targets = []almondstep.RouteTarget{{Service: shardName(0), Weight: 3}, {Service: shardName(1), Weight: 1}}
+	var p almondstep.RouteTableParts
+	p.Version = 7
+	for _, parts := range []almondstep.RouteParts{over, single, order, split} {
+		r, err := almondstep.NewRoute(parts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Routes = append(p.Routes, r)
+	}
+	upstreams := map[almondstep.ServiceName][]*almondstep.Upstream{}
+	for i := range max(shards, 2) {
+		s := shardName(i)
+		p.Services = append(p.Services, almondstep.RoutedService{Name: s, MaxConnections: 26})
+		for _, region := range []almondstep.RegionName{near, far} {
+			zone := almondstep.ZoneName("a")
+			if region == far {
+				zone = "b"
+			}
+			upstreams[s] = append(upstreams[s], &almondstep.Upstream{
+				ID: almondstep.UpstreamID(fmt.Sprintf("%s-%s", s, region)), Service: s, Addr: "127.0.0.1:1",
+				Zone: zone, Region: region, Slots: 2,
+			})
+		}
+	}
+	table, err := almondstep.NewRouteTable(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return almondstep.NewDirectory(almondstep.DirectoryParts{Routes: table, Upstreams: upstreams, Daemons: 1})
+}
