Refuse at once a request that too few shards can answer; first tick at once

Cause: after all daemons and the store have been away, servers' entries come back over two seconds. A new daemon also waited 100 ms before its first read of the registry.

Change: if the shards with an upstream that can be called don't make an answer whole enough, nothing is sent and the caller gets notRun and a Retry-After of 250 ms. The control thread's first tick comes at once.

Ruled out: a shorter Retry-After (60 ms came back to the same lack).

--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -10,9 +10,9 @@
 	// configurationRetry is when a caller may come back to a daemon that has no
 	// routes yet.
 	configurationRetry = 300 * time.Millisecond
-	// replicaRetry is when a caller may come back after no upstream could be
-	// reached: soon enough for its deadline, long enough for a restart.
-	replicaRetry = 60 * time.Millisecond
+	// replicaRetry is when a caller may come back after too few upstreams could be
+	// reached: soon enough for its deadline, long enough for entries to come back.
+	replicaRetry = 250 * time.Millisecond
 )
 
 // arrived takes a request in and sends its first calls.
@@ -30,6 +30,10 @@
 	r.trace.Version = d.Routes().Version()
 	r.setTimes(now, e.Remaining)
 	f.addShards(r)
+	if r.gathers() && !r.covers(f.reachable(now, r)) {
+		return append(out, f.refuseUnsent(r))
+	}
+	r.trace.Missing = nil
 	f.requests[r.id] = r
 	for i := range r.shards {
 		f.budget.Need(now, r.shards[i].service)
@@ -40,6 +44,31 @@
 	return f.proceed(now, r, out)
 }
 
+// reachable is the number of shards with an upstream that can be called.
+func (f *Forwarder) reachable(now almondstep.Instant, r *request) int {
+	n := 0
+	for i := range r.shards {
+		s := &r.shards[i]
+		usable := func(u *almondstep.Upstream) bool { return r.route.Allows(u.Region) }
+		if _, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable); ok {
+			n++
+			continue
+		}
+		if len(r.trace.Missing) < tracedShards {
+			r.trace.Missing = append(r.trace.Missing, s.missing())
+		}
+	}
+	return n
+}
+
+// refuseUnsent answers a request for which too few shards can be reached,
+// before anything is sent: half an answer would only cost the upstreams work.
+func (f *Forwarder) refuseUnsent(r *request) *almondstep.ReplyRequest {
+	reply := &almondstep.Reply{Outcome: almondstep.OutcomeNotRun, Code: almondstep.CodeNoReplica, RetryAfter: replicaRetry}
+	reply.Trace = r.trace
+	return &almondstep.ReplyRequest{ID: r.id, Reply: reply}
+}
+
 func refuse(id almondstep.QueryID, code almondstep.RefusalCode, after time.Duration) *almondstep.ReplyRequest {
 	return &almondstep.ReplyRequest{ID: id, Reply: &almondstep.Reply{
 		Outcome:    almondstep.OutcomeNotRun,
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -286,3 +286,25 @@
 		t.Errorf("got retry after %v, want above 0", got)
 	}
 }
+
+// With too few shards listed or reachable, nothing is sent and the caller is
+// told so at once.
+func TestTooFewReachableShardsAreRefusedUnsent(t *testing.T) {
+	whole := directory(t, 4, nil)
+	some := map[almondstep.ServiceName][]*almondstep.Upstream{}
+	for i := range 2 {
+		some[shardName(i)] = whole.Upstreams(shardName(i))
+	}
+	w := newWorld(t, bounds(), almondstep.NewDirectory(almondstep.DirectoryParts{Routes: whole.Routes(), Upstreams: some}))
+	w.ask(1, "/search/x")
+	r := w.replies[1]
+	if r == nil || r.Outcome != almondstep.OutcomeNotRun || r.RetryAfter <= 0 {
+		t.Errorf("got reply %+v, want notRun and when to come back", r)
+	}
+	if got, want := len(w.order), 0; got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+	if r != nil && len(r.Trace.Missing) != 2 {
+		t.Errorf("got missing %v, want the two shards without upstreams", r.Trace.Missing)
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -113,6 +113,7 @@
 func (r *Runner) tick(ctx context.Context) {
 	ticker := time.NewTicker(almondstep.TickEvery)
 	defer ticker.Stop()
+	r.control.push(&almondstep.ControlTick{})
 	for {
 		select {
 		case <-ctx.Done():
