Log lines that explain a failed request, bounded and never waited for

Cause: the users' on-call engineers have only logs and metrics. Lines went to standard output directly, complete answers not at all, and go-zero's line for each call to the store drowned the rest.

What the daemon believes has a line when it changes: routes, zones, upstreams, upstreams left alone, the registry lost and regained. go-zero's own lines are for debugging.

Tried and reverted: counting the opening of a connection into the time an upstream is expected to take, so that hedges to it go out sooner.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -20,7 +20,9 @@
 	c := &s.calls[ref.call]
 	c.ended, c.result = true, e.Result
 	r.out--
-	f.picker.Ended(now, c.upstream.ID, e)
+	if away := f.picker.Ended(now, c.upstream.ID, e); away > 0 {
+		out = append(out, leftAlone(r, c, e.Result, away))
+	}
 	if c.paid && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
 	}
@@ -42,6 +44,16 @@
 	return f.proceed(now, r, out)
 }
 
+// leftAlone reports that an upstream gets no requests for a while.
+func leftAlone(r *request, c *call, result almondstep.CallResult, away time.Duration) *almondstep.Report {
+	return &almondstep.Report{
+		Level:   almondstep.ReportInfo,
+		Message: "upstream left alone for " + away.String(),
+		Subject: string(c.upstream.ID),
+		Cause:   result.String() + " in request " + r.message.Key,
+	}
+}
+
 // retry sends a shard whose calls have all failed to another upstream.
 func (f *Forwarder) retry(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) bool {
 	s := &r.shards[i]
@@ -88,9 +100,12 @@
 	if _, ok := f.quickestOther(now, r, s); !ok {
 		return false
 	}
+	step := s.step(now.Sub(r.arrivedAt), use)
 	paid := arrivals > 0
 	if paid && !f.budget.Take(now, s.service, r.directory.Daemons(), use) {
 		r.trace.Denied++
+		step.What = "denied"
+		r.note(step)
 		return false
 	}
 	if !f.send(now, r, i, out) {
@@ -99,10 +114,38 @@
 		}
 		return false
 	}
-	s.calls[len(s.calls)-1].paid = paid
+	last := &s.calls[len(s.calls)-1]
+	last.paid = paid
+	step.To = last.upstream.ID
+	r.note(step)
 	return true
 }
 
+// step describes the decision to call another upstream.
+func (s *shard) step(after time.Duration, use budgeter.Use) almondstep.RequestStep {
+	step := almondstep.RequestStep{AfterMillis: after.Milliseconds(), Service: s.service, What: "retry"}
+	if use == budgeter.Hedge {
+		step.What = "hedge"
+	}
+	if n := len(s.calls); n > 0 {
+		c := s.calls[n-1]
+		step.From, step.Why = c.upstream.ID, "late"
+		if c.ended {
+			step.Why = c.result.String()
+		}
+	}
+	return step
+}
+
+// notedSteps bounds the steps that a trace holds.
+const notedSteps = 6
+
+func (r *request) note(step almondstep.RequestStep) {
+	if len(r.trace.Steps) < notedSteps {
+		r.trace.Steps = append(r.trace.Steps, step)
+	}
+}
+
 // settle takes a shard's answer in.
 func (r *request) settle(i int, part *almondstep.ResponseMessage) {
 	r.shards[i].part = part
--- a/message_control.go
+++ b/message_control.go
@@ -320,6 +320,10 @@
 	Level   ReportLevel `json:"level"`
 	Message string      `json:"message"`
 	Subject string      `json:"subject"`
+	// Cause says what it was decided from; empty if the message says it all.
+	Cause string `json:"cause,omitempty"`
+	// Version is that of what it was decided from; 0 if it has none.
+	Version uint64 `json:"version,omitempty"`
 }
 
 // ReportLevel is how much a report matters.
--- a/message_request.go
+++ b/message_request.go
@@ -170,11 +170,28 @@
 	Retries int `json:"retries"`
 	// Denied counts further calls that the retry budget didn't allow.
 	Denied int `json:"denied"`
+	// Steps are the first decisions to call another upstream.
+	Steps []RequestStep `json:"steps,omitempty"`
 	// Missing names a few of the shards that are left out, and why.
 	Missing []MissingPart `json:"missing,omitempty"`
 	Took    time.Duration `json:"took"`
 }
 
+// RequestStep is one decision to call another upstream, or that it isn't
+// allowed.
+type RequestStep struct {
+	// AfterMillis is the time since the request's arrival, in milliseconds.
+	AfterMillis int64       `json:"afterMillis"`
+	Service     ServiceName `json:"service"`
+	// What is hedge, retry or denied.
+	What string `json:"what"`
+	// From is the upstream called before, and Why how that call stood.
+	From UpstreamID `json:"from,omitempty"`
+	Why  string     `json:"why"`
+	// To is the upstream called now; empty if the budget denied it.
+	To UpstreamID `json:"to,omitempty"`
+}
+
 // MissingPart is a shard left out of an answer and how its last call stood.
 type MissingPart struct {
 	Service  ServiceName `json:"service"`
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -93,32 +93,43 @@
 	p.seen(now, u).out[call] = now
 }
 
-// Ended notes how a call ended.
-func (p *Picker) Ended(now almondstep.Instant, id almondstep.UpstreamID, e *almondstep.CallEnded) {
+// Ended notes how a call ended. If the upstream is left alone from now on that
+// was not before, it says for how long.
+func (p *Picker) Ended(now almondstep.Instant, id almondstep.UpstreamID, e *almondstep.CallEnded) time.Duration {
 	s, ok := p.upstreams[id]
 	if !ok {
-		return
+		return 0
 	}
+	wasDown := now < s.downUntil
 	delete(s.out, e.Call)
 	s.told(now, e)
+	s.ended(now, e)
+	if wasDown || now >= s.downUntil {
+		return 0
+	}
+	return s.downUntil.Sub(now)
+}
+
+// ended takes in a call's result.
+func (u *upstream) ended(now almondstep.Instant, e *almondstep.CallEnded) {
 	switch e.Result {
 	case almondstep.CallDone:
-		s.reached()
-		s.answered(now, e.Took)
-		s.outcome(now, false)
+		u.reached()
+		u.answered(now, e.Took)
+		u.outcome(now, false)
 	case almondstep.CallShed, almondstep.CallRejected, almondstep.CallSpoiled:
-		s.reached()
-		s.outcome(now, true)
+		u.reached()
+		u.outcome(now, true)
 	case almondstep.CallRefused:
-		s.outcome(now, true)
-		s.unreachable(now)
+		u.outcome(now, true)
+		u.unreachable(now)
 	case almondstep.CallMisdirected:
-		s.downUntil = now.Add(goneBackoff)
+		u.downUntil = now.Add(goneBackoff)
 	case almondstep.CallBroken, almondstep.CallTimeout:
-		s.unanswered(now)
+		u.unanswered(now)
 	case almondstep.CallCanceled:
-		if e.Took > s.usual(now) {
-			s.unanswered(now)
+		if e.Took > u.usual(now) {
+			u.unanswered(now)
 		}
 	default:
 	}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -188,6 +188,11 @@
 	r.replies.get(replyKey{route: route, outcome: reply.Outcome, code: reply.Code}, r.newReply).Inc()
 }
 
+// WatchLog shows the number of log lines dropped, as dropped counts it.
+func (r *Recorder) WatchLog(dropped func() uint64) {
+	r.set.NewGauge(linesDropped, func() float64 { return float64(dropped()) })
+}
+
 // ControlSent counts bytes of control messages.
 func (r *Recorder) ControlSent(kind string, bytes int) {
 	if !r.kinds.admit(kind) {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -52,6 +52,7 @@
 	r.Answered("toasters", "urgent", partial())
 	r.Attempted("intake-desk", almondstep.CallShed, time.Millisecond)
 	r.ControlSent("probe", 300)
+	r.WatchLog(func() uint64 { return 3 })
 	r.Replied("lots", &almondstep.Reply{Outcome: almondstep.OutcomePartial, Trace: almondstep.RequestTrace{
 		Shards: 20, Included: 19, Calls: 21, Hedges: 1, Denied: 1, Took: time.Millisecond,
 	}})
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -41,6 +41,7 @@
 	requestCalls     = "almondstep_request_calls_total"
 	requestExtra     = "almondstep_request_extra_calls_total"
 	requestDenied    = "almondstep_request_denied_calls_total"
+	linesDropped     = "almondstep_log_lines_dropped_total"
 	revision         = "almondstep_revision"
 	ready            = "almondstep_ready"
 	knownDaemons     = "almondstep_known_daemons"
@@ -156,6 +157,11 @@
 			"Calls to the platform's service: ok, conflict, unavailable, failed.",
 			"unavailable: the daemons go on with what they have; edits and idempotency keys wait for the platform.",
 		},
+		{
+			linesDropped, Counter, "lines", "",
+			"Log lines dropped because too many came, or nobody read them.",
+			"Rising: the log has gaps; the next line says how many lines are missing.",
+		},
 		{
 			revision, Gauge, "revision", "",
 			"Revision of the configuration in force here; 0 if none.",
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -99,9 +99,16 @@
 }
 
 func (r *Runner) report(f *almondstep.Report) {
+	fields := []any{"subject", f.Subject}
+	if f.Cause != "" {
+		fields = append(fields, "cause", f.Cause)
+	}
+	if f.Version != 0 {
+		fields = append(fields, "version", f.Version)
+	}
 	if f.Level == almondstep.ReportWarn {
-		r.Logger.Warn(f.Message, "subject", f.Subject)
+		r.Logger.Warn(f.Message, fields...)
 		return
 	}
-	r.Logger.Info(f.Message, "subject", f.Subject)
+	r.Logger.Info(f.Message, fields...)
 }
--- a/starter/logs.go
+++ b/starter/logs.go
@@ -42,8 +42,9 @@
 	w.logger.Debug(fmt.Sprint(v), pairs(fields)...)
 }
 
+// Info is for debugging only: httpc logs every call.
 func (w logWriter) Info(v any, fields ...logx.LogField) {
-	w.logger.Info(fmt.Sprint(v), pairs(fields)...)
+	w.logger.Debug(fmt.Sprint(v), pairs(fields)...)
 }
 
 func (w logWriter) Severe(v any) { w.logger.Error(fmt.Sprint(v)) }
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -4,24 +4,57 @@
 	"almondstep"
 )
 
-// apply takes changes in and says whether anything that a view shows is new.
-func (w *Watcher) apply(now almondstep.Instant, e *almondstep.RegistryRead) bool {
+// apply takes changes in, reports those that matter and says whether anything
+// that a view shows is new.
+func (w *Watcher) apply(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	c := e.Changes
 	changed := w.applyRoutes(c.Routes)
+	if changed {
+		out = append(out, w.report("routes in force", string(w.cfg.Self), "", uint64(w.routes.Version())))
+	}
 	if e.Whole {
 		changed = w.dropUnlisted(now, c) || changed
 	}
 	for _, u := range c.Upstreams {
-		changed = w.applyUpstream(now, u) || changed
+		if w.applyUpstream(now, u) {
+			changed = true
+			out = w.reportUpstream(u, e.Whole, out)
+		}
 	}
 	for _, z := range c.ZonesOut {
-		changed = changed || w.zonesOut[z.Zone] != z.Out
+		if w.zonesOut[z.Zone] == z.Out {
+			continue
+		}
+		changed = true
 		w.zonesOut[z.Zone] = z.Out
+		out = append(out, w.report("zone out changed", string(z.Zone), outWord(z.Out), c.Revision))
 	}
 	for _, d := range c.Daemons {
 		w.applyDaemon(now, d)
 	}
-	return changed || w.shared != w.sharing(now)
+	return changed || w.shared != w.sharing(now), out
+}
+
+func outWord(out bool) string {
+	if out {
+		return "taken out"
+	}
+	return "back"
+}
+
+// reportUpstream says what an entry's change means for new requests. A whole
+// reading isn't reported entry by entry.
+func (w *Watcher) reportUpstream(c almondstep.UpstreamChange, whole bool, out []almondstep.Effect) []almondstep.Effect {
+	message := "upstream gets requests"
+	switch {
+	case whole:
+		return out
+	case c.Upstream == nil:
+		message = "upstream gone"
+	case c.Upstream.Leaving:
+		message = "upstream leaving"
+	}
+	return append(out, w.report(message, c.Key, "registry entry", c.Revision))
 }
 
 // applyRoutes takes a newer table; an older one never comes back in force.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -126,22 +126,23 @@
 	w.reading = false
 	w.readAt = now.Add(watchPause)
 	if e.Compacted {
+		out = append(out, w.report("registry history is gone, reading all of it", string(w.cfg.Self), "", w.revision))
 		w.revision = 0
 		w.readAt = now
-		return append(out, report("registry history is gone, reading all of it", w.cfg.Self))
+		return out
 	}
 	if e.Err != "" {
 		return w.lost(now, e, out)
 	}
 	if w.failed {
 		w.failed = false
-		out = append(out, report("registry regained", w.cfg.Self))
+		out = append(out, w.report("registry regained", string(w.cfg.Self), "", e.Changes.Revision))
 	}
 	if !e.Whole && e.Changes.Empty() {
 		// The watch has waited its time already.
 		w.readAt = now
 	}
-	changed := w.apply(now, e)
+	changed, out := w.apply(now, e, out)
 	w.revision = max(w.revision, e.Changes.Revision)
 	if changed {
 		out = w.publish(now, out)
@@ -158,11 +159,20 @@
 	w.failed = true
 	return append(out, &almondstep.Report{
 		Level:   almondstep.ReportWarn,
-		Message: "registry lost, going on with what is known: " + e.Err,
+		Message: "registry lost, going on with what is known",
 		Subject: string(w.cfg.Self),
+		Cause:   e.Err,
+		Version: w.revision,
 	})
 }
 
-func report(message string, self almondstep.DaemonID) *almondstep.Report {
-	return &almondstep.Report{Level: almondstep.ReportInfo, Message: message, Subject: string(self)}
+// report says what the daemon now believes, and from which revision.
+func (w *Watcher) report(message, subject, cause string, version uint64) *almondstep.Report {
+	return &almondstep.Report{
+		Level:   almondstep.ReportInfo,
+		Message: message,
+		Subject: subject,
+		Cause:   cause,
+		Version: version,
+	}
 }
