--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		if len(r.trace.Missing) < tracedShards {
-			r.trace.Missing = append(r.trace.Missing, s.missing())
+			r.trace.Missing = append(r.trace.Missing, r.missing(s))
 		}
 	}
 	return n
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -124,14 +124,19 @@
 	}
 	for i := range r.shards {
 		if s := &r.shards[i]; s.part == nil && len(t.Missing) < tracedShards {
-			t.Missing = append(t.Missing, s.missing())
+			t.Missing = append(t.Missing, r.missing(s))
 		}
 	}
 	return t
 }
 
-func (s *shard) missing() almondstep.MissingPart {
-	m := almondstep.MissingPart{Service: s.service, Result: s.result.String()}
+// missing says how a shard that is left out stands.
+func (r *request) missing(s *shard) almondstep.MissingPart {
+	m := almondstep.MissingPart{
+		Service: s.service,
+		Result:  s.result.String(),
+		Listed:  len(r.directory.Upstreams(s.service)),
+	}
 	if n := len(s.calls); n > 0 {
 		m.Upstream = s.calls[n-1].upstream.ID
 	}
--- a/message_request.go
+++ b/message_request.go
@@ -197,6 +197,8 @@
 	Service  ServiceName `json:"service"`
 	Upstream UpstreamID  `json:"upstream,omitempty"`
 	Result   string      `json:"result"`
+	// Listed is the number of upstreams that could have got new requests.
+	Listed int `json:"listed"`
 }
 
 // Query says which request the event is for.
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -16,9 +16,10 @@
 		changed = w.dropUnlisted(now, c) || changed
 	}
 	for _, u := range c.Upstreams {
+		before := w.entries[u.Key]
 		if w.applyUpstream(now, u) {
 			changed = true
-			out = w.reportUpstream(u, e.Whole, out)
+			out = w.reportUpstream(u, before, e.Whole, out)
 		}
 	}
 	for _, z := range c.ZonesOut {
@@ -44,17 +45,23 @@
 
 // reportUpstream says what an entry's change means for new requests. A whole
 // reading isn't reported entry by entry.
-func (w *Watcher) reportUpstream(c almondstep.UpstreamChange, whole bool, out []almondstep.Effect) []almondstep.Effect {
+func (w *Watcher) reportUpstream(c almondstep.UpstreamChange, before *entry, whole bool, out []almondstep.Effect) []almondstep.Effect {
+	if whole {
+		return out
+	}
+	u := c.Upstream
 	message := "upstream gets requests"
 	switch {
-	case whole:
+	case u != nil && before != nil && before.goneAt == 0 && u.Leaving == before.upstream.Leaving:
 		return out
-	case c.Upstream == nil:
+	case u == nil:
 		message = "upstream gone"
-	case c.Upstream.Leaving:
+		u = before.upstream
+	case u.Leaving:
 		message = "upstream leaving"
 	}
-	return append(out, w.report(message, c.Key, "registry entry", c.Revision))
+	cause := "entry of " + string(u.Service) + " in " + string(u.Zone)
+	return append(out, w.report(message, string(u.ID), cause, c.Revision))
 }
 
 // applyRoutes takes a newer table; an older one never comes back in force.
@@ -142,13 +149,16 @@
 	d.alive = c.Alive
 }
 
-// expire drops the lapsed entries that have not come back.
-func (w *Watcher) expire(now almondstep.Instant) bool {
+// expire drops the lapsed entries that have not come back, and says whether any
+// was dropped.
+func (w *Watcher) expire(now almondstep.Instant, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	changed := false
-	for key, held := range w.entries {
+	for _, key := range sortedKeys(w.entries) {
+		held := w.entries[key]
 		if held.goneAt != 0 && now >= held.goneAt {
 			delete(w.entries, key)
 			changed = true
+			out = w.reportUpstream(almondstep.UpstreamChange{Key: key, Revision: held.revision}, held, false, out)
 		}
 	}
 	for id, d := range w.daemons {
@@ -156,7 +166,7 @@
 			delete(w.daemons, id)
 		}
 	}
-	return changed
+	return changed, out
 }
 
 // sharing is the number of daemons among which bounds are shared.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -99,7 +99,8 @@
 }
 
 func (w *Watcher) tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
-	if w.expire(now) || w.shared != w.sharing(now) {
+	expired, out := w.expire(now, out)
+	if expired || w.shared != w.sharing(now) {
 		out = w.publish(now, out)
 	}
 	if !w.reading && now >= w.readAt {
