Hedge as late as another upstream can still answer in time

Cause: a shard was hedged once nearly all answers of its upstream would have come, 12 to 20 ms for a near one, although the answer leaves only just before its latency target.

Change: the hedge goes out when another upstream can still answer in time with nearly all of its answers, over a connection that must be opened first; never before the first upstream is expected to answer.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -308,3 +308,17 @@
 		t.Errorf("got missing %v, want the two shards without upstreams", r.Trace.Missing)
 	}
 }
+
+// Load: a near upstream takes longer than usual, but well within the latency
+// target. No hedge is spent on it as long as one could still be sent in time.
+func TestHedgeWaitsWhileThereIsTime(t *testing.T) {
+	w := newWorld(t, bounds(), directory(t, 1, nil))
+	for id := almondstep.QueryID(1); id <= 40; id++ {
+		w.ask(id, "/one/x")
+		w.advance(20 * time.Millisecond)
+		w.end(w.order[len(w.order)-1], almondstep.CallDone, "")
+	}
+	if got, want := len(w.order), 40; got != want {
+		t.Errorf("got %d calls for %d requests, want no further ones", got, want)
+	}
+}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -74,30 +74,33 @@
 	return max(1, service.MaxConnections/r.directory.Daemons())
 }
 
-// hedgeTime is when nearly all answers of the upstream have come, but early
-// enough that another upstream can still answer in time.
+// hedgeTime is as late as another upstream can still answer in time, with nearly
+// all of its answers and over a connection that must be opened first. An answer
+// before the latency target is worth no more for being quicker, while each hedge
+// that a little patience spares is there for a shard that needs it.
 func (f *Forwarder) hedgeTime(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream) almondstep.Instant {
 	usual := now.Add(max(leastHedgeDelay, f.picker.Usual(now, u)))
 	other, ok := f.quickestOther(now, r, s)
 	if !ok {
 		return usual
 	}
-	last := r.answerBy.Add(-other)
 	soonest := now.Add(max(leastHedgeDelay, f.picker.Expected(now, u)))
-	return max(soonest, min(usual, last))
+	last := r.answerBy.Add(-f.picker.Expected(now, other))
+	safe := r.answerBy.Add(-f.picker.Usual(now, other) - f.picker.Way(other))
+	return max(soonest, min(last, max(usual, safe)))
 }
 
-// quickestOther is the time in which the quickest upstream not yet tried is
-// likely to answer.
-func (f *Forwarder) quickestOther(now almondstep.Instant, r *request, s *shard) (time.Duration, bool) {
-	least, found := time.Duration(0), false
+// quickestOther is the upstream not yet tried that is likely to answer first.
+func (f *Forwarder) quickestOther(now almondstep.Instant, r *request, s *shard) (*almondstep.Upstream, bool) {
+	var best *almondstep.Upstream
+	var least time.Duration
 	for _, u := range r.directory.Upstreams(s.service) {
 		if s.tried(u) || !r.route.Allows(u.Region) {
 			continue
 		}
-		if expected := f.picker.Expected(now, u); !found || expected < least {
-			least, found = expected, true
+		if expected := f.picker.Expected(now, u); best == nil || expected < least {
+			best, least = u, expected
 		}
 	}
-	return least, found
+	return best, best != nil
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -178,7 +178,7 @@
 	}
 	s := &upstream{
 		started: u.Started,
-		prior:   p.way(u) + workPrior,
+		prior:   p.Way(u) + workPrior,
 		slots:   max(1, u.Slots),
 		out:     make(map[almondstep.CallID]almondstep.Instant),
 	}
@@ -189,7 +189,8 @@
 	return s
 }
 
-func (p *Picker) way(u *almondstep.Upstream) time.Duration {
+// Way is the time to the upstream and back that is expected before any is seen.
+func (p *Picker) Way(u *almondstep.Upstream) time.Duration {
 	switch {
 	case u.Zone == p.Zone:
 		return sameZone
