--- a/distributor/document.go
+++ b/distributor/document.go
@@ -63,8 +63,8 @@
 		self:    cfg.Self,
 		check:   cfg.Checks[name],
 		patches: make(map[almondstep.Hash]*almondstep.Patch),
-		puller:  puller{random: jitter{state: seed}},
-		reader:  reader{random: jitter{state: ^seed}},
+		puller:  puller{random: jitter{random: almondstep.NewRandom(seed)}},
+		reader:  reader{random: jitter{random: almondstep.NewRandom(^seed)}},
 	}
 }
 
@@ -176,18 +176,14 @@
 	return p
 }
 
-// jitter is a splitmix64 generator.
+// jitter draws times at random.
 type jitter struct {
-	state uint64
+	random almondstep.Random
 }
 
 // below gives a time from 0 to d.
 func (j *jitter) below(d time.Duration) time.Duration {
-	j.state += 0x9e3779b97f4a7c15
-	z := j.state
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	z ^= z >> 31
+	z := j.random.Next()
 	if d <= 0 {
 		return 0
 	}
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -49,7 +49,7 @@
 func (g *Generator) Run(ctx context.Context) *Report {
 	r := newReport(time.Now())
 	var wg sync.WaitGroup
-	random := rng{state: g.Seed}
+	random := rng{almondstep.NewRandom(g.Seed)}
 	due := time.Now()
 	end := due.Add(g.Duration)
 	stop := g.progress(r)
@@ -83,7 +83,7 @@
 	for _, k := range g.Kinds {
 		total += k.Weight
 	}
-	n := int(random.next() % uint64(total))
+	n := int(random.Next() % uint64(total))
 	for _, k := range g.Kinds {
 		if n < k.Weight {
 			return k
@@ -130,20 +130,12 @@
 	}
 }
 
-// rng is a splitmix64 generator.
-type rng struct{ state uint64 }
-
-func (r *rng) next() uint64 {
-	r.state += 0x9e3779b97f4a7c15
-	z := r.state
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
+// rng draws the times between arrivals.
+type rng struct{ almondstep.Random }
 
 // gap draws the time to the next arrival of a Poisson process.
 func (r *rng) gap(perSecond float64) time.Duration {
 	const mantissa = 53
-	u := (float64(r.next()>>(64-mantissa)) + 1) / (1 << mantissa)
+	u := (float64(r.Next()>>(64-mantissa)) + 1) / (1 << mantissa)
 	return time.Duration(-math.Log(u) / perSecond * float64(time.Second))
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -43,7 +43,7 @@
 // Upstreams is the state of the upstreams of one traffic thread.
 type Upstreams struct {
 	cfg      Config
-	random   uint64
+	random   almondstep.Random
 	nextCall almondstep.CallID
 	byAddr   map[almondstep.Address]*upstream
 	// all has the upstreams in the order in which they came, so that a change of
@@ -79,7 +79,7 @@
 	}
 	return &Upstreams{
 		cfg:      cfg,
-		random:   cfg.Seed,
+		random:   almondstep.NewRandom(cfg.Seed),
 		byAddr:   make(map[almondstep.Address]*upstream),
 		services: make(map[almondstep.ServiceName]*pace),
 	}
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -135,16 +135,7 @@
 // jitter gives a time between a half of d and d.
 func (u *Upstreams) jitter(d time.Duration) time.Duration {
 	const half = 2
-	return d/half + time.Duration(u.draw()%uint64(d/half+1))
-}
-
-// draw is the next number of a splitmix64 sequence.
-func (u *Upstreams) draw() uint64 {
-	u.random += 0x9e3779b97f4a7c15
-	z := u.random
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
+	return d/half + time.Duration(u.random.Next()%uint64(d/half+1))
 }
 
 // conclude ends the item of a call.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -201,11 +201,8 @@
 	}
 }
 
-// coin draws one bit (xorshift64).
+// coin draws one bit.
 func (p *Picker) coin() bool {
-	p.Seed |= 1
-	p.Seed ^= p.Seed << 13
-	p.Seed ^= p.Seed >> 7
-	p.Seed ^= p.Seed << 17
-	return p.Seed>>40&1 == 1
+	p.Seed = almondstep.Mix(p.Seed)
+	return p.Seed&1 == 1
 }
--- a/planner/repick.go
+++ b/planner/repick.go
@@ -59,7 +59,7 @@
 		case order == 0:
 			equals++
 			// Keep each of n equals with the chance 1/n.
-			if Mix(w.Hash+equals)%equals == 0 {
+			if almondstep.Mix(w.Hash+equals)%equals == 0 {
 				chosen, chosenTried = r, tried
 			}
 		}
@@ -96,11 +96,3 @@
 	}
 	return compare(v.Zone(), &a, &b)
 }
-
-// Mix spreads the bits of x over the whole word (the finalizer of splitmix64).
-func Mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -114,7 +114,7 @@
 func New(cfg Config) *Prober {
 	p := &Prober{
 		cfg:         cfg,
-		rng:         generator{state: cfg.Seed ^ ranker.Hash(string(cfg.Self))},
+		rng:         generator{almondstep.NewRandom(cfg.Seed ^ ranker.Hash(string(cfg.Self)))},
 		members:     make(map[almondstep.DaemonID]*member),
 		incarnation: newEpoch(max(1, uint64(cfg.Epoch))),
 		push:        pusher{tokens: pushBurst},
--- a/querier/canary.go
+++ b/querier/canary.go
@@ -3,7 +3,6 @@
 import (
 	"almondstep"
 	"almondstep/hedger"
-	"almondstep/planner"
 )
 
 const (
@@ -118,7 +117,7 @@
 
 // hash draws a number that depends on the seed, the query and n alone.
 func (q *Queries) hash(qu *query, n int) uint64 {
-	return planner.Mix(q.cfg.Seed ^ uint64(qu.id) ^ planner.Mix(uint64(n)))
+	return almondstep.Mix(q.cfg.Seed ^ uint64(qu.id) ^ almondstep.Mix(uint64(n)))
 }
 
 // crashed notes that the request took an upstream down, and reports it once it
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -98,17 +98,7 @@
 		h ^= uint64(s[i])
 		h *= prime
 	}
-	return mix(h)
+	return almondstep.Spread(h)
 }
 
-func score(key, daemon uint64) uint64 { return mix(key ^ daemon) }
-
-// mix is the finalizer of splitmix64.
-func mix(h uint64) uint64 {
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	h ^= h >> 31
-	return h
-}
+func score(key, daemon uint64) uint64 { return almondstep.Spread(key ^ daemon) }
