--- a/demonstrator/searches.go
+++ b/demonstrator/searches.go
@@ -109,7 +109,7 @@
 	service, _ := d.catalog.Lookup(scheme, name)
 	d.record(row{
 		what:     what,
-		outcome:  string(a.Outcome),
+		outcome:  strings.TrimSpace(string(a.Outcome) + " " + string(a.Code) + " " + a.Message),
 		coverage: fmt.Sprintf("%d/%d shards", a.Coverage.Included, a.Coverage.Wanted),
 		version:  a.Coverage.Version,
 		took:     a.Took,
