Take out what nothing sets: an answer's mark of leaving, two unused parameters

Cause: found on reading the change; servers' closing of a connection says nothing certain, so no upstream was ever marked by it. Behaviour is the same.

--- a/message_request.go
+++ b/message_request.go
@@ -113,8 +113,6 @@
 	Response *ResponseMessage `json:"response,omitempty"`
 	// Load is nil if the upstream didn't tell it.
 	Load *UpstreamLoad `json:"load,omitempty"`
-	// Leaving says that the answer carried the upstream's mark of leaving.
-	Leaving bool `json:"leaving,omitempty"`
 	// ColdFor is how much longer the upstream says it stays cold.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -44,7 +44,7 @@
 	var least time.Duration
 	for _, u := range among {
 		s := p.seen(now, u)
-		if s.leaving || now < s.downUntil || !usable(u) {
+		if now < s.downUntil || !usable(u) {
 			continue
 		}
 		cost := p.cost(now, s)
@@ -141,9 +141,6 @@
 		u.load = *e.Load
 		u.loadAt = now
 	}
-	if e.Leaving {
-		u.leaving = true
-	}
 	if e.ColdFor > 0 {
 		u.coldUntil = now.Add(e.ColdFor)
 	}
--- a/picker/upstream.go
+++ b/picker/upstream.go
@@ -30,7 +30,6 @@
 	downUntil almondstep.Instant
 	silent    int
 	coldUntil almondstep.Instant
-	leaving   bool
 	listed    bool
 }
 
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -33,7 +33,7 @@
 	for _, d := range c.Daemons {
 		w.applyDaemon(now, d)
 	}
-	return changed || w.shared != w.sharing(now), out
+	return changed || w.shared != w.sharing(), out
 }
 
 func outWord(out bool) string {
@@ -170,11 +170,11 @@
 }
 
 // sharing is the number of daemons among which bounds are shared.
-func (w *Watcher) sharing(almondstep.Instant) int { return max(1, len(w.daemons)) }
+func (w *Watcher) sharing() int { return max(1, len(w.daemons)) }
 
 // publish makes a view of what is known.
-func (w *Watcher) publish(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
-	w.shared = w.sharing(now)
+func (w *Watcher) publish(out []almondstep.Effect) []almondstep.Effect {
+	w.shared = w.sharing()
 	upstreams := make(map[almondstep.ServiceName][]*almondstep.Upstream)
 	for _, key := range sortedKeys(w.entries) {
 		u := w.entries[key].upstream
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -93,15 +93,15 @@
 		w.announced(now, e)
 	case *almondstep.StopRequested:
 		w.stopping = true
-		return w.publish(now, out)
+		return w.publish(out)
 	}
 	return out
 }
 
 func (w *Watcher) tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	expired, out := w.expire(now, out)
-	if expired || w.shared != w.sharing(now) {
-		out = w.publish(now, out)
+	if expired || w.shared != w.sharing() {
+		out = w.publish(out)
 	}
 	if !w.reading && now >= w.readAt {
 		w.reading = true
@@ -146,7 +146,7 @@
 	changed, out := w.apply(now, e, out)
 	w.revision = max(w.revision, e.Changes.Revision)
 	if changed {
-		out = w.publish(now, out)
+		out = w.publish(out)
 	}
 	return out
 }
