--- a/budgeter/cold.go
+++ b/budgeter/cold.go
@@ -41,6 +41,3 @@
 	c.sent[id] = append(recent, now)
 	return true
 }
-
-// Forget drops an upstream that is no longer cold, or gone.
-func (c *Cold) Forget(id almondstep.UpstreamID) { delete(c.sent, id) }
--- a/exchanger/encode.go
+++ b/exchanger/encode.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,13 +53,8 @@
 
 // fields lists a header's fields by name.
 func fields(h http.Header) almondstep.Header {
-	names := make([]string, 0, len(h))
-	for name := range h {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	var list almondstep.Header
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(h)) {
 		for _, value := range h[name] {
 			list = append(list, almondstep.HeaderField{Name: name, Value: value})
 		}
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -64,9 +64,9 @@
 // refuseUnsent answers a request for which too few shards can be reached,
 // before anything is sent: half an answer would only cost the upstreams work.
 func (f *Forwarder) refuseUnsent(r *request) *almondstep.ReplyRequest {
-	reply := &almondstep.Reply{Outcome: almondstep.OutcomeNotRun, Code: almondstep.CodeNoReplica, RetryAfter: replicaRetry}
-	reply.Trace = r.trace
-	return &almondstep.ReplyRequest{ID: r.id, Reply: reply}
+	refusal := refuse(r.id, almondstep.CodeNoReplica, replicaRetry)
+	refusal.Reply.Trace = r.trace
+	return refusal
 }
 
 func refuse(id almondstep.QueryID, code almondstep.RefusalCode, after time.Duration) *almondstep.ReplyRequest {
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -1,6 +1,9 @@
 package watcher
 
 import (
+	"maps"
+	"slices"
+
 	"almondstep"
 )
 
@@ -153,7 +156,7 @@
 // was dropped.
 func (w *Watcher) expire(now almondstep.Instant, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	changed := false
-	for _, key := range sortedKeys(w.entries) {
+	for _, key := range slices.Sorted(maps.Keys(w.entries)) {
 		held := w.entries[key]
 		if held.goneAt != 0 && now >= held.goneAt {
 			delete(w.entries, key)
@@ -176,7 +179,7 @@
 func (w *Watcher) publish(out []almondstep.Effect) []almondstep.Effect {
 	w.shared = w.sharing()
 	upstreams := make(map[almondstep.ServiceName][]*almondstep.Upstream)
-	for _, key := range sortedKeys(w.entries) {
+	for _, key := range slices.Sorted(maps.Keys(w.entries)) {
 		u := w.entries[key].upstream
 		if !u.Leaving && !w.zonesOut[u.Zone] {
 			upstreams[u.Service] = append(upstreams[u.Service], u)
