An upstream's next owner hears how warm it is; an owner is believed over older words

Until its grant is full a new owner may use only upstreams that it knows to be warm, and it knew of none: the words about them had been told before it started. Three faults together: - nobody told the next owner, neither at a planned stop nor when the first owner came back. Now the daemon that gives an upstream up does, and answers the first probe of a returned owner with it; what comes before the list of VMs is kept. - an owner that was started again counted its words from 1, so that others went on believing the last word of its earlier start. Numbers now begin with the epoch. - an owner took a late word of a former one over its own. It now repeats its own. - the limiter looked at the former owner's word only when its state was made.

Ruled out: the retry path (a refused try is sent on to cold replicas too); wrong grants (the random histories of exclusive grants hold, 4,000 for each size).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,7 +61,7 @@
 // New gives a control partition that has no document yet.
 func New(cfg Config) *Control {
 	c := &Control{cfg: cfg}
-	c.marks.init()
+	c.marks.init(cfg.Epoch)
 	c.quarantine.init()
 	c.freshness.init()
 	c.ownership.init()
@@ -148,9 +148,9 @@
 func (c *Control) hearRumor(now almondstep.Instant, r *almondstep.Rumor) {
 	switch r.Kind {
 	case almondstep.RumorUpstream:
-		if c.marks.hear(r) {
-			c.temperatureChanged(r.Upstream, r.Temperature)
-			c.prober.Spread(*r, r.Temperature == almondstep.Leaving)
+		if word, news := c.marks.hear(r); news {
+			c.temperatureChanged(word.Upstream, word.Temperature)
+			c.prober.Spread(word, word.Temperature == almondstep.Leaving)
 		}
 	case almondstep.RumorQuarantine:
 		if c.quarantine.hear(now, r) {
@@ -162,7 +162,7 @@
 }
 
 func (c *Control) markUpstream(e *almondstep.MarkUpstream) {
-	r, changed := c.marks.mark(e)
+	r, changed := c.marks.mark(e, c.ownership.byAddr[e.Addr] != nil)
 	if !changed {
 		return
 	}
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -58,9 +59,24 @@
 		kept[vm.Addr] = o
 		c.ownership.upstreams = append(c.ownership.upstreams, o)
 	}
+	c.handOver(kept)
 	c.ownership.byAddr = kept
 }
 
+// handOver tells how warm the upstreams are that this daemon no longer owns. The
+// next owner may have been started just now and know nothing, and until its
+// grant is full it may use only what it knows to be warm.
+func (c *Control) handOver(kept map[almondstep.Address]*owned) {
+	for _, addr := range slices.Sorted(maps.Keys(c.ownership.byAddr)) {
+		if kept[addr] != nil {
+			continue
+		}
+		if word, ok := c.marks.handOver(addr); ok {
+			c.prober.Spread(word, true)
+		}
+	}
+}
+
 func (c *Control) owns(addr almondstep.Address) bool {
 	if c.prober.Left() {
 		return false
--- a/limiter/failure_test.go
+++ b/limiter/failure_test.go
@@ -35,6 +35,23 @@
 	}
 }
 
+// A daemon that was started again has no full grant yet, and hears only after its
+// first work how warm an upstream is. Then it uses it, one request at a time, for
+// as long as it has no word of its own.
+func TestWordOfWarmthComesLate(t *testing.T) {
+	r := newRig(t, limiter.Config{})
+	r.setView(viewOf(vm("boot1"), almondstep.GrantWarmOnly, almondstep.Cold))
+	wantFinished(t, r.search(time.Second), almondstep.ItemNotRun, almondstep.ReasonCold)
+	r.setView(viewOf(vm("boot1"), almondstep.GrantWarmOnly, almondstep.Warm))
+	first := started(r.search(time.Second))
+	if got, want := len(first)+len(started(r.search(time.Second))), 1; got != want {
+		t.Fatalf("got %d starts at an upstream said to be warm, want %d", got, want)
+	}
+	r.end(first[0].Call, almondstep.CallBroken, "", time.Millisecond)
+	r.setView(viewOf(vm("boot1"), almondstep.GrantWarmOnly, almondstep.Warm))
+	r.wantTemperature(almondstep.Cold)
+}
+
 // The list lags: it may show a boot, and a leaving mark, from before the boot
 // that answers.
 func TestListLags(t *testing.T) {
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -97,6 +97,7 @@
 	if careful || o.Grant() == almondstep.GrantWarmOnly {
 		up.warmth.temperature = o.Temperature()
 		up.warmth.limit = 1
+		up.marked.temperature = o.Temperature()
 	}
 }
 
@@ -141,9 +142,26 @@
 	up.warmth.setSlots(o.Slots())
 	up.refreshDialTime(t.view)
 	u.refreshBoot(t, up, o)
-	if grant == almondstep.GrantWarmOnly && o.Temperature() != almondstep.Warm {
+	if grant != almondstep.GrantWarmOnly {
+		return
+	}
+	if o.Temperature() != almondstep.Warm {
 		up.warmth.fall()
+		return
+	}
+	if up.untried() {
+		up.inherit(o)
+	}
+}
+
+// untried says that the upstream is cold only for want of any word: it was never
+// this daemon's to use fully, and nothing was ever sent to it from here.
+func (up *upstream) untried() bool {
+	if up.warmth.temperature != almondstep.Cold || up.wasFull {
+		return false
 	}
+	silent := up.answeredAt == 0 && up.warmth.silent == 0 && up.warmth.refused == 0
+	return silent && len(up.calls) == 0 && len(up.ghosts) == 0
 }
 
 // refreshGrant makes the upstream prove its warmth anew if another daemon may
--- a/prober/digest.go
+++ b/prober/digest.go
@@ -87,7 +87,7 @@
 // incarnation refutes the suspicion for others.
 func (p *Prober) alive(now almondstep.Instant, m *member, incarnation uint64) {
 	refutes := incarnation > m.incarnation
-	m.learn(now, incarnation)
+	p.learn(now, m, incarnation)
 	if p.turn(now, m, almondstep.MemberAlive) && refutes {
 		p.announce(m, false)
 	}
--- a/prober/member.go
+++ b/prober/member.go
@@ -103,12 +103,14 @@
 	return m.listed && !m.listLeaving && m.state == almondstep.MemberAlive && !m.cutOff
 }
 
-// learn takes a higher incarnation.
-func (m *member) learn(now almondstep.Instant, incarnation uint64) {
+// learn takes a higher incarnation. A mate that begins a new epoch takes back
+// what it owns at once: the answer to its probe tells it what is known of that.
+func (p *Prober) learn(now almondstep.Instant, m *member, incarnation uint64) {
 	if incarnation <= m.incarnation {
 		return
 	}
 	if epochOf(incarnation) > epochOf(m.incarnation) {
+		p.urgent = p.urgent || m.zone == p.cfg.Zone
 		m.epochAt = now
 		m.hasLeft = false
 		m.listLeaving = false
@@ -179,7 +181,7 @@
 	if !supersedes(r, m) {
 		return
 	}
-	m.learn(now, r.Incarnation)
+	p.learn(now, m, r.Incarnation)
 	p.turn(now, m, r.Member)
 	p.Spread(*r, r.Member != almondstep.MemberAlive)
 }
--- a/prober/witness.go
+++ b/prober/witness.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		if m := p.members[g.Daemon]; m != nil {
-			m.learn(now, g.Incarnation)
+			p.learn(now, m, g.Incarnation)
 			m.warned = max(m.warned, epoch)
 			if fleetRevision(d) <= p.fleet && sent != notAsked {
 				m.goneBy[from.id] = statement{epoch: epoch, asked: sent}
