One daemon of each zone reads the registry; the others ask it for news

Cause: each daemon watched the store itself.

Change: the control partition keeps the last state of each entry, answers others that ask what has changed since a revision, and chooses where it reads itself: the daemons before it in its zone's order, the registry, those after it. A source that is silent, behind, cut off or reads from the asker is left alone for a while.

Ruled out: pushing (who has missed what would have to be known), reading with stale-ok (its revision may be newer than its items: changes would be lost).

--- a/message_registry.go
+++ b/message_registry.go
@@ -11,6 +11,38 @@
 	Upstreams []UpstreamChange `json:"upstreams,omitempty"`
 	ZonesOut  []ZoneChange     `json:"zonesOut,omitempty"`
 	Daemons   []DaemonChange   `json:"daemons,omitempty"`
+	// Entries are the same changes as they stand in the registry, to be passed on
+	// to other daemons.
+	Entries []RegistryEntry `json:"entries,omitempty"`
+}
+
+// RegistryEntry is one entry of the registry in the registry's own form.
+type RegistryEntry struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+	// Removed entries have no value.
+	Removed bool   `json:"removed,omitempty"`
+	Value   string `json:"value,omitempty"`
+}
+
+// RegistryNews is what one daemon tells another of the registry.
+type RegistryNews struct {
+	// Revision is the one up to which the teller knows the registry.
+	Revision uint64 `json:"revision"`
+	// Whole says that Entries is everything, not what has changed.
+	Whole   bool            `json:"whole,omitempty"`
+	Entries []RegistryEntry `json:"entries,omitempty"`
+	// Lost says that the teller's own last reading failed.
+	Lost bool `json:"lost,omitempty"`
+	// Source is the daemon that the teller itself asks; empty if it reads the
+	// registry.
+	Source DaemonID `json:"source,omitempty"`
+	// Age is how long ago the registry itself was last heard, through all daemons
+	// that the news has passed.
+	Age time.Duration `json:"age"`
+	// LostAgo is how long ago an outage of the registry last ended or was noticed,
+	// as far as the teller knows; AgeUnknown if there was none.
+	LostAgo time.Duration `json:"lostAgo"`
 }
 
 // Empty says that nothing has changed.
@@ -37,10 +69,16 @@
 type DaemonChange struct {
 	Daemon DaemonID `json:"daemon"`
 	Alive  bool     `json:"alive"`
+	// Zone is the daemon's own, and Addr where it answers other daemons; both are
+	// empty if it doesn't say or is gone.
+	Zone ZoneName `json:"zone,omitempty"`
+	Addr Address  `json:"addr,omitempty"`
 }
 
 // RegistryRead brings the outcome of a ReadRegistry.
 type RegistryRead struct {
+	// From is the daemon that was asked; empty if the registry itself was.
+	From    DaemonID         `json:"from,omitempty"`
 	Changes *RegistryChanges `json:"changes,omitempty"`
 	// Whole says that Changes is everything, not what has changed.
 	Whole bool `json:"whole"`
@@ -48,6 +86,23 @@
 	Compacted bool `json:"compacted,omitempty"`
 	// Err says why nothing was read; empty if it was.
 	Err string `json:"err,omitempty"`
+	// Teller is what the daemon asked says of its own reading; nil if the registry
+	// was asked.
+	Teller *RegistryNews `json:"teller,omitempty"`
+}
+
+// NewsAsked says that another daemon asks for what changes after a revision, and
+// waits for it; the answer is a ReplyNews.
+type NewsAsked struct {
+	Call  CallID        `json:"call"`
+	After uint64        `json:"after"`
+	Wait  time.Duration `json:"wait"`
+}
+
+// ReplyNews answers a NewsAsked.
+type ReplyNews struct {
+	Call CallID       `json:"call"`
+	News RegistryNews `json:"news"`
 }
 
 // DaemonAnnounced brings the outcome of an AnnounceDaemon.
@@ -60,6 +115,10 @@
 type ReadRegistry struct {
 	After uint64        `json:"after"`
 	Wait  time.Duration `json:"wait"`
+	// From is the daemon to ask, and Addr its address; empty for the registry
+	// itself.
+	From DaemonID `json:"from,omitempty"`
+	Addr Address  `json:"addr,omitempty"`
 }
 
 // AnnounceDaemon asks to keep this daemon's lease in the registry.
@@ -73,12 +132,21 @@
 // Control marks the event.
 func (*DaemonAnnounced) Control() {}
 
+// Control marks the event.
+func (*NewsAsked) Control() {}
+
 // Kind names the event.
 func (*RegistryRead) Kind() string { return "registryRead" }
 
 // Kind names the event.
 func (*DaemonAnnounced) Kind() string { return "daemonAnnounced" }
 
+// Kind names the event.
+func (*NewsAsked) Kind() string { return "newsAsked" }
+
+// Kind names the effect.
+func (*ReplyNews) Kind() string { return "replyNews" }
+
 // Kind names the effect.
 func (*ReadRegistry) Kind() string { return "readRegistry" }
 
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -66,7 +66,7 @@
 // Work sends a Work to an owner. The error is ErrNotRun only if the connection
 // was refused or the owner said so itself.
 func (c *Client) Work(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, w *almondstep.Work) (*almondstep.WorkAnswered, error) {
-	r, err := call(ctx, c.peer(to), peerpb.Peer.Deliver, encodeWork(from, w))
+	r, err := call(ctx, c.peer(to), (*clients).Deliver, encodeWork(from, w))
 	if err != nil {
 		return nil, classify(err)
 	}
@@ -75,7 +75,7 @@
 
 // Collect waits for the pending rest of a Work.
 func (c *Client) Collect(ctx context.Context, to almondstep.Address, e *almondstep.CollectArrived) (*almondstep.WorkAnswered, error) {
-	r, err := call(ctx, c.peer(to), peerpb.Peer.Collect, &peerpb.CollectRequest{
+	r, err := call(ctx, c.peer(to), (*clients).Collect, &peerpb.CollectRequest{
 		Query:     uint64(e.ID),
 		Attempt:   uint32(e.Attempt),
 		Remaining: int64(e.Remaining),
@@ -88,7 +88,7 @@
 
 // Cancel tells an owner that nothing more is wanted.
 func (c *Client) Cancel(ctx context.Context, to almondstep.Address, e *almondstep.CancelArrived) error {
-	_, err := call(ctx, c.peer(to), peerpb.Peer.Cancel, &peerpb.CancelRequest{
+	_, err := call(ctx, c.peer(to), (*clients).Cancel, &peerpb.CancelRequest{
 		Query:   uint64(e.ID),
 		Attempt: uint32(e.Attempt),
 		Items:   groupItems(e.Items),
@@ -100,7 +100,7 @@
 func (c *Client) Probe(ctx context.Context, to almondstep.Address, target almondstep.DaemonID, d *almondstep.Digest) (*almondstep.Digest, bool, error) {
 	req := &peerpb.ProbeRequest{Digest: encodeDigest(d), Target: string(target)}
 	c.count("probe", req)
-	r, err := call(ctx, c.peer(to), peerpb.Peer.Probe, req)
+	r, err := call(ctx, c.peer(to), (*clients).Probe, req)
 	if err != nil {
 		return nil, false, classify(err)
 	}
@@ -111,7 +111,7 @@
 func (c *Client) Pull(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, have almondstep.DocumentState) (*almondstep.Patch, error) {
 	req := &peerpb.PullRequest{From: string(from), Have: encodeState(have)}
 	c.count("pull", req)
-	r, err := call(ctx, c.peer(to), peerpb.Peer.Pull, req)
+	r, err := call(ctx, c.peer(to), (*clients).Pull, req)
 	if err != nil {
 		return nil, classify(err)
 	}
@@ -129,7 +129,7 @@
 
 // Claim asks the key's home daemon for the one run of a request.
 func (c *Client) Claim(ctx context.Context, to almondstep.Address, e *almondstep.ClaimKey) (almondstep.ClaimOutcome, error) {
-	r, err := call(ctx, c.peer(to), peerpb.Peer.Claim, &peerpb.ClaimRequest{
+	r, err := call(ctx, c.peer(to), (*clients).Claim, &peerpb.ClaimRequest{
 		Query:       uint64(e.ID),
 		Key:         e.Key,
 		Fingerprint: uint64(e.Fingerprint),
@@ -143,7 +143,7 @@
 
 // Status asks what a daemon says of itself.
 func (c *Client) Status(ctx context.Context, to almondstep.Address) (*almondstep.DaemonStatus, error) {
-	r, err := call(ctx, c.peer(to), peerpb.Peer.Status, &peerpb.Empty{})
+	r, err := call(ctx, c.peer(to), (*clients).Status, &peerpb.Empty{})
 	if err != nil {
 		return nil, classify(err)
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -208,3 +208,41 @@
 		t.Errorf("got %d connections, want %d", got, want)
 	}
 }
+
+// newsroom is a NewsServer that answers from what it is asked.
+type newsroom struct {
+	after uint64
+	wait  time.Duration
+}
+
+func (n *newsroom) News(_ context.Context, after uint64, wait time.Duration) (*almondstep.RegistryNews, error) {
+	n.after, n.wait = after, wait
+	return filled[almondstep.RegistryNews](), nil
+}
+
+// News of the registry arrive with every field. A server that has none refuses.
+func TestNewsSurvivesTheWire(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &newsroom{}
+	s := &messenger.Server{News: n}
+	s.Init()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	c := &messenger.Client{}
+	got, err := c.News(t.Context(), almondstep.Address(l.Addr().String()), 7, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := filled[almondstep.RegistryNews](); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if n.after != 7 || n.wait != time.Second {
+		t.Errorf("got after %d and wait %v, want 7 and 1s", n.after, n.wait)
+	}
+	if _, err := c.News(t.Context(), serve(t, &echo{}), 7, time.Second); !errors.Is(err, almondstep.ErrUnavailable) {
+		t.Errorf("got %v of a server without news, want ErrUnavailable", err)
+	}
+}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -29,18 +29,28 @@
 	heard atomic.Int64
 
 	mu      sync.Mutex
-	client  peerpb.Peer
+	client  *clients
 	conns   *http.Transport
 	renewed time.Time
 }
 
-// use gives the client over the present connection.
-func (p *peer) use() peerpb.Peer {
+// clients are the clients of a daemon's services, over one connection.
+type clients struct {
+	peerpb.Peer
+	peerpb.News
+}
+
+// use gives the clients over the present connection.
+func (p *peer) use() *clients {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.client == nil {
 		p.conns = transport(p.tls)
-		p.client = peerpb.NewPeerProtobufClient(p.base(), &http.Client{Transport: p.conns})
+		c := &http.Client{Transport: p.conns}
+		p.client = &clients{
+			Peer: peerpb.NewPeerProtobufClient(p.base(), c),
+			News: peerpb.NewNewsProtobufClient(p.base(), c),
+		}
 	}
 	return p.client
 }
@@ -83,8 +93,9 @@
 	}
 }
 
-// call makes one call and lets the peer learn from how it ended.
-func call[Q, A any](ctx context.Context, p *peer, method func(peerpb.Peer, context.Context, Q) (A, error), q Q) (A, error) {
+// call makes one call of one of a daemon's services and lets the peer learn from
+// how it ended.
+func call[Q, A any](ctx context.Context, p *peer, method func(*clients, context.Context, Q) (A, error), q Q) (A, error) {
 	began := time.Now()
 	a, err := method(p.use(), ctx, q)
 	p.ended(ctx, began, err)
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -28,8 +28,10 @@
 
 // Server answers the messages of other daemons through a PeerServer.
 type Server struct {
-	// Peer does the work.
+	// Peer does the work, and News tells of the registry; nil refuses the calls of
+	// either.
 	Peer almondstep.PeerServer
+	News almondstep.NewsServer
 	// TLS is the certificate and the authorities; nil talks in the clear.
 	TLS *tls.Config
 	// Sent, if set, is told the encoded size of each control message.
@@ -57,12 +59,19 @@
 	if s.ErrorLog == nil {
 		s.ErrorLog = log.New(io.Discard, "", 0)
 	}
+	services := http.NewServeMux()
+	if s.Peer != nil {
+		services.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&handler{peer: s.Peer, sent: s.Sent}))
+	}
+	if s.News != nil {
+		services.Handle(peerpb.NewsPathPrefix, peerpb.NewNewsServer(&newsHandler{news: s.News}))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s.server = &http.Server{
-		Handler:           http.MaxBytesHandler(peerpb.NewPeerServer(&handler{peer: s.Peer, sent: s.Sent}), maxMessageBytes),
+		Handler:           http.MaxBytesHandler(services, maxMessageBytes),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          s.ErrorLog,
--- a/outside.go
+++ b/outside.go
@@ -48,6 +48,19 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*RegistryChanges, error)
 	// Announce takes or renews this daemon's lease for ttl.
 	Announce(ctx context.Context, ttl time.Duration) error
+	// Read makes changes of entries that another daemon has passed on.
+	Read(revision uint64, entries []RegistryEntry) *RegistryChanges
+}
+
+// NewsServer answers other daemons that want to know what changes in the
+// registry. It waits, at most wait, until something has.
+type NewsServer interface {
+	News(ctx context.Context, after uint64, wait time.Duration) (*RegistryNews, error)
+}
+
+// NewsClient asks another daemon what changes in the registry.
+type NewsClient interface {
+	News(ctx context.Context, to Address, after uint64, wait time.Duration) (*RegistryNews, error)
 }
 
 // Exchanger sends one call to an upstream and says how it ended. It never sends
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -24,6 +24,8 @@
 		r.background(func(ctx context.Context) { r.sendPull(ctx, f) })
 	case *almondstep.ReplyPull:
 		r.calls.reply(f.Call, f)
+	case *almondstep.ReplyNews:
+		r.calls.reply(f.Call, f)
 	case *almondstep.ReadDocument:
 		r.background(func(ctx context.Context) { r.readDocument(ctx, f) })
 	case *almondstep.TakeZoneLease:
--- /dev/null
+++ b/runner/registry.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+)
+
+// newsGrace is how long another daemon's answer may take beyond the wait that it
+// was asked for, before its connection counts as silent.
+const newsGrace = 500 * time.Millisecond
+
+// readRegistry reads all of the registry or waits for what changes in it, at the
+// registry itself or through another daemon.
+func (r *Runner) readRegistry(ctx context.Context, f *almondstep.ReadRegistry) {
+	e := &almondstep.RegistryRead{From: f.From, Whole: f.After == 0}
+	var err error
+	switch {
+	case f.From != "":
+		err = r.readNews(ctx, f, e)
+	case e.Whole:
+		e.Changes, err = r.Registry.ReadAll(ctx)
+	default:
+		e.Changes, err = r.Registry.Watch(ctx, f.After, f.Wait)
+	}
+	if err != nil {
+		e.Err = err.Error()
+		e.Compacted = errors.Is(err, almondstep.ErrStale)
+	}
+	r.control.push(e)
+}
+
+// readNews asks another daemon.
+func (r *Runner) readNews(ctx context.Context, f *almondstep.ReadRegistry, e *almondstep.RegistryRead) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+newsGrace)
+	defer cancel()
+	news, err := r.Mates.News(ctx, f.Addr, f.After, f.Wait)
+	if err != nil {
+		return err
+	}
+	e.Teller = news
+	e.Whole = news.Whole
+	e.Changes = r.Registry.Read(news.Revision, news.Entries)
+	return nil
+}
+
+// News answers another daemon that asks what changes in the registry.
+func (r *Runner) News(ctx context.Context, after uint64, wait time.Duration) (*almondstep.RegistryNews, error) {
+	call, reply := r.calls.add()
+	defer r.calls.remove(call)
+	r.control.push(&almondstep.NewsAsked{Call: call, After: after, Wait: wait})
+	f, err := r.calls.wait(ctx, r.life.ctx(), reply)
+	if err != nil {
+		return nil, err
+	}
+	told, ok := f.(*almondstep.ReplyNews)
+	if !ok {
+		return nil, almondstep.ErrClosed
+	}
+	return &told.News, nil
+}
+
+func (r *Runner) announce(ctx context.Context, f *almondstep.AnnounceDaemon) {
+	e := &almondstep.DaemonAnnounced{}
+	if err := r.Registry.Announce(ctx, f.TTL); err != nil {
+		e.Err = err.Error()
+		r.Logger.Debug("lease not renewed", "err", err)
+	}
+	r.control.push(e)
+}
--- a/runner/requests.go
+++ b/runner/requests.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"almondstep"
 )
 
@@ -67,28 +65,3 @@
 	}
 	time.AfterFunc(f.After, func() { t.calls.cancel(requestCalls, f.Call) })
 }
-
-// readRegistry reads all of the registry or waits for what changes in it.
-func (r *Runner) readRegistry(ctx context.Context, f *almondstep.ReadRegistry) {
-	e := &almondstep.RegistryRead{Whole: f.After == 0}
-	var err error
-	if e.Whole {
-		e.Changes, err = r.Registry.ReadAll(ctx)
-	} else {
-		e.Changes, err = r.Registry.Watch(ctx, f.After, f.Wait)
-	}
-	if err != nil {
-		e.Err = err.Error()
-		e.Compacted = errors.Is(err, almondstep.ErrStale)
-	}
-	r.control.push(e)
-}
-
-func (r *Runner) announce(ctx context.Context, f *almondstep.AnnounceDaemon) {
-	e := &almondstep.DaemonAnnounced{}
-	if err := r.Registry.Announce(ctx, f.TTL); err != nil {
-		e.Err = err.Error()
-		r.Logger.Debug("lease not renewed", "err", err)
-	}
-	r.control.push(e)
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,6 +46,8 @@
 	// Registry and Exchanger serve routed requests; nil if there are none.
 	Registry  almondstep.Registry
 	Exchanger almondstep.Exchanger
+	// Mates asks other daemons what changes in the registry.
+	Mates almondstep.NewsClient
 
 	start   time.Time
 	view    atomic.Pointer[almondstep.View]
@@ -67,6 +69,7 @@
 var (
 	_ almondstep.Frontend   = (*Runner)(nil)
 	_ almondstep.PeerServer = (*Runner)(nil)
+	_ almondstep.NewsServer = (*Runner)(nil)
 )
 
 // Init makes the threads; call it once, before Run and before anything is
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -150,6 +150,8 @@
 		d.goneAt = now.Add(daemonHolds)
 	}
 	d.alive = c.Alive
+	d.zone = c.Zone
+	d.addr = c.Addr
 }
 
 // expire drops the lapsed entries that have not come back, and says whether any
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,8 +9,8 @@
 const (
 	// watchPause is the least time between two watches, so that one call brings
 	// what changes in a burst.
-	watchPause = 250 * time.Millisecond
-	// failurePause is the time after which a failed read is tried again.
+	watchPause = 500 * time.Millisecond
+	// failurePause is the time after which a failed announcement is tried again.
 	failurePause = 250 * time.Millisecond
 	// DefaultWatchWait is how long a watch waits for a change.
 	DefaultWatchWait = 2 * time.Second
@@ -19,9 +19,10 @@
 	LapseGrace = 2200 * time.Millisecond
 	// outageHolds is how long after a failed read a removal may still be a lapse.
 	outageHolds = 2500 * time.Millisecond
-	// leaseTTL and renewEvery keep this daemon's own entry.
-	leaseTTL   = 8 * time.Second
-	renewEvery = 2500 * time.Millisecond
+	// leaseTTL and renewEvery keep this daemon's own entry. That a daemon is gone
+	// shows sooner to those that ask it.
+	leaseTTL   = 15 * time.Second
+	renewEvery = 4500 * time.Millisecond
 	// daemonHolds is how long a daemon whose lease has ended still counts among
 	// those that share a bound: it may live on behind a cut.
 	daemonHolds = 30 * time.Second
@@ -49,9 +50,21 @@
 	readAt     almondstep.Instant
 	announcing bool
 	announceAt almondstep.Instant
-	failed     bool
-	failedAt   almondstep.Instant
-	shared     int
+	// failed says that the last reading failed; warned, that the log says so.
+	failed bool
+	warned bool
+	// outage says that the registry itself gave no answer here; failedAt is until
+	// when it is known to have given none, here or to a daemon asked.
+	outage   bool
+	failedAt almondstep.Instant
+	// confirmedAt is when the registry itself was last heard.
+	confirmedAt almondstep.Instant
+	// following is the source read from; avoid has when each may be asked again.
+	following almondstep.DaemonID
+	avoid     map[almondstep.DaemonID]almondstep.Instant
+	journal   journal
+	askers    []asker
+	shared    int
 }
 
 // entry is an upstream's entry in the registry.
@@ -65,6 +78,8 @@
 // daemon is another daemon's entry, or this one's.
 type daemon struct {
 	alive bool
+	zone  almondstep.ZoneName
+	addr  almondstep.Address
 	// goneAt is when a daemon without a lease no longer counts.
 	goneAt almondstep.Instant
 }
@@ -79,6 +94,8 @@
 		entries:  make(map[string]*entry),
 		zonesOut: make(map[almondstep.ZoneName]bool),
 		daemons:  make(map[almondstep.DaemonID]*daemon),
+		avoid:    make(map[almondstep.DaemonID]almondstep.Instant),
+		journal:  newJournal(),
 	}
 }
 
@@ -89,6 +106,8 @@
 		return w.tick(now, out)
 	case *almondstep.RegistryRead:
 		return w.read(now, e, out)
+	case *almondstep.NewsAsked:
+		return w.asked(now, e, out)
 	case *almondstep.DaemonAnnounced:
 		w.announced(now, e)
 	case *almondstep.StopRequested:
@@ -103,9 +122,11 @@
 	if expired || w.shared != w.sharing() {
 		out = w.publish(out)
 	}
+	out = w.tellDue(now, out)
 	if !w.reading && now >= w.readAt {
-		w.reading = true
-		out = append(out, &almondstep.ReadRegistry{After: w.revision, Wait: w.cfg.WatchWait})
+		if s, ok := w.nextSource(now); ok {
+			out = w.ask(s, out)
+		}
 	}
 	if !w.announcing && !w.stopping && now >= w.announceAt {
 		w.announcing = true
@@ -125,44 +146,65 @@
 // read takes in what was read, or that nothing could be.
 func (w *Watcher) read(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
 	w.reading = false
-	w.readAt = now.Add(watchPause)
+	w.readAt = now
 	if e.Compacted {
 		out = append(out, w.report("registry history is gone, reading all of it", string(w.cfg.Self), "", w.revision))
 		w.revision = 0
-		w.readAt = now
 		return out
 	}
-	if e.Err != "" {
-		return w.lost(now, e, out)
+	if cause := w.refusal(e); cause != "" {
+		return w.lost(now, e, cause, out)
 	}
-	if w.failed {
-		w.failed = false
+	w.failed = false
+	if w.warned {
+		w.warned = false
 		out = append(out, w.report("registry regained", string(w.cfg.Self), "", e.Changes.Revision))
 	}
-	if !e.Whole && e.Changes.Empty() {
-		// The watch has waited its time already.
-		w.readAt = now
+	out = w.follow(e, out)
+	w.confirm(now, e)
+	if e.From == "" && (e.Whole || !e.Changes.Empty()) {
+		// A watch without changes has waited its time already.
+		w.readAt = now.Add(watchPause)
 	}
+	return w.takeIn(now, e, out)
+}
+
+// takeIn puts what was read in force and tells those that wait for it.
+func (w *Watcher) takeIn(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
 	changed, out := w.apply(now, e, out)
-	w.revision = max(w.revision, e.Changes.Revision)
+	w.journal.take(e.Changes.Entries, e.Whole, e.Changes.Revision)
 	if changed {
 		out = w.publish(out)
 	}
-	return out
+	if e.Changes.Revision <= w.revision {
+		return out
+	}
+	w.revision = e.Changes.Revision
+	return w.tellAll(now, out)
 }
 
-func (w *Watcher) lost(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
-	w.readAt = now.Add(failurePause)
-	w.failedAt = now
-	if w.failed {
+// lost leaves a source alone and tells those that ask here. The daemon goes on
+// with what it knows; it says so in the log once no other source is left.
+func (w *Watcher) lost(now almondstep.Instant, e *almondstep.RegistryRead, cause string, out []almondstep.Effect) []almondstep.Effect {
+	w.avoidSource(now, e)
+	if e.From == "" {
+		w.outage = true
+		w.failedAt = now
+	}
+	if !w.failed {
+		w.failed = true
+		out = w.tellAll(now, out)
+	}
+	_, more := w.nextSource(now)
+	if w.warned || more && now.Sub(w.confirmedAt) < staleWaits*w.cfg.WatchWait {
 		return out
 	}
-	w.failed = true
+	w.warned = true
 	return append(out, &almondstep.Report{
 		Level:   almondstep.ReportWarn,
 		Message: "registry lost, going on with what is known",
 		Subject: string(w.cfg.Self),
-		Cause:   e.Err,
+		Cause:   cause,
 		Version: w.revision,
 	})
 }
