A canary refused before it ran is sent to another replica

Cause of the KNOWN-RED test and of the demo's refused first search: a request without a good reputation at a daemon goes to one shard first. Where that was refused, the next canary was another shard, again at the nearest replica; when all shards had been refused once, the request was answered "notRun noReplica" though nobody had asked the replicas of the other zones. So a daemon that has just started (no reputations) refused searches while its zone's upstreams were being handed over: the reasons listed, "cold cold cold", are those of three shards, not of one shard's three replicas.

Ruled out: zones closed for an old configuration (controller TestReadyDaemonUsesAllZones holds, also with 80 ms between daemons).

Each process now begins at other ports.

Tests: querier TestRefusedCanaryIsSentElsewhere, which failed with the very answer seen.

--- a/querier/canary.go
+++ b/querier/canary.go
@@ -91,13 +91,36 @@
 	case qu.crashes == 0 && qu.begun >= enoughFailures:
 		q.fanOut(qu)
 		return true
-	case q.nextCanary(qu):
+	case q.nextCanary(qu), q.canaryElsewhere(qu):
 		return true
 	}
 	q.finish(qu, q.codeOf(qu))
 	return false
 }
 
+// canaryElsewhere asks another replica of a shard whose canary was refused before
+// it ran; false if there is none. Every shard has been refused once by then: the
+// owners of a whole zone may be changing, while those of other zones are well.
+func (q *Queries) canaryElsewhere(qu *query) bool {
+	if qu.crashes > 0 || qu.canaries >= maxCanaries {
+		return false
+	}
+	for target := range qu.shards {
+		sh := &qu.shards[target]
+		if sh.state != shardWaiting || sh.begun > 0 {
+			continue
+		}
+		if !q.retry(qu, target, failure{reason: sh.reason, notRun: true}) {
+			continue
+		}
+		qu.canaries++
+		q.counters.Canaries++
+		q.sendPicks(qu, false)
+		return true
+	}
+	return false
+}
+
 // fanOut asks for every shard that isn't asked for yet.
 func (q *Queries) fanOut(qu *query) {
 	qu.stage = stageFanOut
--- a/querier/failure_retry_test.go
+++ b/querier/failure_retry_test.go
@@ -259,3 +259,29 @@
 		t.Errorf("%d replans, want %d", got, want)
 	}
 }
+
+// Load: the own zone's upstreams are just being handed over, so that every shard
+// is refused there before it ran. A request that has no good reputation here yet
+// goes to the replicas elsewhere, one canary at a time, and then to all shards.
+func TestRefusedCanaryIsSentElsewhere(t *testing.T) {
+	for _, reason := range []almondstep.Reason{almondstep.ReasonCold, almondstep.ReasonNotOwner, almondstep.ReasonStopping} {
+		const shards = 3
+		d := newDriver(t, deskFleet(shards, 3, 3))
+		d.at(0, search(1, "routine"))
+		for i := range shards {
+			works := d.works()
+			if got, want := len(works), 1; got != want {
+				t.Fatalf("%s: got %d canaries after %d refusals, want %d", reason, got, i, want)
+			}
+			a := d.answerTo(works[0], almondstep.ItemNotRun)
+			for i := range a.Items {
+				a.Items[i].Reason = reason
+			}
+			d.at(time.Duration(d.now)+ms, a)
+		}
+		d.answerEach(almondstep.ItemDone)
+		if d.reply() == nil || d.reply().Outcome != almondstep.OutcomeComplete {
+			t.Errorf("%s: got %+v, want a complete answer", reason, d.reply())
+		}
+	}
+}
--- a/starter/process_test.go
+++ b/starter/process_test.go
@@ -48,8 +48,15 @@
 
 // nextPort is where freePort goes on. The ports lie below those that the system
 // gives to outgoing connections, so that a daemon that restarts finds its own
-// still free.
-var nextPort = 20_000
+// still free. Each test process begins elsewhere, so that the daemons of two that
+// run at once don't take each other for their own.
+var nextPort = 20_000 + os.Getpid()%portSpans*portSpan
+
+// portSpan is the number of ports that one test process uses at most.
+const (
+	portSpan  = 100
+	portSpans = 110
+)
 
 // freePort finds an address that nobody listens on and that was not given
 // before.
