Judge an upstream's lateness by others like it where little was seen of itself

Cause: at 78 daemons each one calls a single upstream every few seconds, so that its own latencies are forgotten between two calls, and the fixed expectation (11 ms for the same zone) took the opening of 90 connections for lateness: the first requests hedged all 90 shards at 24 ms, and the budget was gone when pauses came.

Change: shards that are asked together share an estimate for each zone; an upstream of whose like nothing was seen is hedged only when another one is needed to be in time. What is expected before anything was seen counts the opening of a connection.

Ruled out: the budget's shares (large enough without the needless hedges).

--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -93,13 +93,20 @@
 // that a little patience spares is there for a shard that needs it.
 func (f *Forwarder) hedgeTime(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream) almondstep.Instant {
 	usual := now.Add(max(leastHedgeDelay, f.picker.Usual(now, u)))
+	if !f.picker.Known(now, u) {
+		usual = r.answerBy
+	}
 	other, ok := f.quickestOther(now, r, s)
 	if !ok {
 		return usual
 	}
 	soonest := now.Add(max(leastHedgeDelay, f.picker.Expected(now, u)))
 	last := r.answerBy.Add(-f.picker.Expected(now, other))
-	safe := r.answerBy.Add(-f.picker.Usual(now, other) - f.picker.Way(other))
+	safe := r.answerBy.Add(-f.picker.Usual(now, other))
+	if f.picker.Known(now, other) {
+		// What was seen of it was seen over open connections, mostly.
+		safe = safe.Add(-f.picker.Way(other))
+	}
 	return max(soonest, min(last, max(usual, safe)))
 }
 
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -77,10 +77,16 @@
 	}})
 }
 
-// end ends a call after it was out for took.
+// end ends a call that was out for 5 ms.
 func (w *world) end(c *almondstep.SendCall, result almondstep.CallResult, body string) {
 	w.t.Helper()
-	e := &almondstep.CallEnded{ID: c.ID, Call: c.Call, Result: result, Took: 5 * time.Millisecond}
+	w.endAfter(c, result, body, 5*time.Millisecond)
+}
+
+// endAfter ends a call that was out for took.
+func (w *world) endAfter(c *almondstep.SendCall, result almondstep.CallResult, body string, took time.Duration) {
+	w.t.Helper()
+	e := &almondstep.CallEnded{ID: c.ID, Call: c.Call, Result: result, Took: took}
 	switch result {
 	case almondstep.CallDone:
 		e.Response = &almondstep.ResponseMessage{Status: 200, Body: []byte(body), Signature: "s-" + string(c.Upstream.ID)}
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -38,7 +38,7 @@
 // answered takes a latency in. After a pause in which nothing was seen the new
 // latency counts like the first one.
 func (e *estimate) answered(now almondstep.Instant, took time.Duration) {
-	if e.seenAt == 0 || now.Sub(e.seenAt) > fadeAfter {
+	if !e.known(now) {
 		e.mean = took
 		e.deviation = took / deviationGain
 		e.seenAt = now
@@ -65,13 +65,9 @@
 	return e.failures * math.Exp(-float64(now.Sub(e.failedAt))/float64(failureFade))
 }
 
-// latency gives the mean and deviation to expect, where prior is expected of
-// any upstream as near.
-func (e *estimate) latency(now almondstep.Instant, prior time.Duration) (mean, deviation time.Duration) {
-	if e.seenAt == 0 || now.Sub(e.seenAt) > fadeAfter {
-		return prior, prior / deviationGain
-	}
-	return e.mean, e.deviation
+// known says that the latency was seen lately.
+func (e *estimate) known(now almondstep.Instant) bool {
+	return e.seenAt != 0 && now.Sub(e.seenAt) <= fadeAfter
 }
 
 // waiting is the number of requests that the upstream last said are queued for
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -10,6 +10,10 @@
 	// workPrior is how long an upstream of which nothing is known is expected to
 	// take, besides the way there.
 	workPrior = 10 * time.Millisecond
+	// priorSpread is the part of that by which answers are expected to differ.
+	priorSpread = 8
+	// opening is how many ways a call takes over a connection that it must open.
+	opening = 2
 	// The ways there and back that are expected before anything is seen.
 	sameZone    = time.Millisecond
 	sameRegion  = 4 * time.Millisecond
@@ -35,6 +39,10 @@
 	Seed uint64
 
 	upstreams map[almondstep.UpstreamID]*upstream
+	kin       map[kinKey]*kin
+	// groups has the group of each shard, by the routes of version grouped.
+	groups  map[almondstep.ServiceName]almondstep.ServiceName
+	grouped almondstep.RouteVersion
 }
 
 // Pick chooses among the upstreams that usable allows; false if there is none
@@ -58,7 +66,7 @@
 // cost is the time in which the upstream is expected to answer one more request,
 // with what may go wrong counted as time.
 func (p *Picker) cost(now almondstep.Instant, s *upstream) time.Duration {
-	mean, deviation := s.latency(now, s.prior)
+	mean, deviation := s.expects(now)
 	cost := mean + deviation
 	cost += time.Duration(s.failureShare(now) * float64(failureCost))
 	queued := s.waiting(now) + float64(max(0, len(s.out)+1-s.slots))/float64(s.slots)
@@ -74,7 +82,7 @@
 
 // Expected is the time in which the upstream is likely to answer.
 func (p *Picker) Expected(now almondstep.Instant, u *almondstep.Upstream) time.Duration {
-	mean, deviation := p.seen(now, u).latency(now, p.seen(now, u).prior)
+	mean, deviation := p.seen(now, u).expects(now)
 	return mean + deviation
 }
 
@@ -83,6 +91,12 @@
 	return p.seen(now, u).usual(now)
 }
 
+// Known says whether something was seen of the upstream lately, or of others like
+// it. Otherwise nothing tells whether it is late.
+func (p *Picker) Known(now almondstep.Instant, u *almondstep.Upstream) bool {
+	return p.seen(now, u).compared(now)
+}
+
 // Cold says whether the upstream is known to be cold.
 func (p *Picker) Cold(now almondstep.Instant, u *almondstep.Upstream) bool {
 	return now < p.seen(now, u).coldUntil
@@ -116,6 +130,7 @@
 	case almondstep.CallDone:
 		u.reached()
 		u.answered(now, e.Took)
+		u.kin.answered(e.Took)
 		u.outcome(now, false)
 	case almondstep.CallShed, almondstep.CallRejected, almondstep.CallSpoiled:
 		u.reached()
@@ -148,6 +163,7 @@
 
 // Keep forgets the upstreams that the directory no longer lists.
 func (p *Picker) Keep(d *almondstep.Directory) {
+	p.regroup(d)
 	for _, s := range p.upstreams {
 		s.listed = false
 	}
@@ -175,7 +191,8 @@
 	}
 	s := &upstream{
 		started: u.Started,
-		prior:   p.Way(u) + workPrior,
+		prior:   opening*p.Way(u) + workPrior,
+		kin:     p.kinOf(u),
 		slots:   max(1, u.Slots),
 		out:     make(map[almondstep.CallID]almondstep.Instant),
 	}
--- a/picker/upstream.go
+++ b/picker/upstream.go
@@ -24,6 +24,7 @@
 	estimate
 	started   time.Time
 	prior     time.Duration
+	kin       *kin
 	slots     int
 	out       map[almondstep.CallID]almondstep.Instant
 	backoff   time.Duration
@@ -57,6 +58,9 @@
 // overdue is how long the oldest call out is beyond the usual time; 0 if it
 // isn't.
 func (u *upstream) overdue(now almondstep.Instant) time.Duration {
+	if !u.compared(now) {
+		return 0
+	}
 	usual := u.usual(now)
 	most := time.Duration(0)
 	for _, at := range u.out {
@@ -67,6 +71,23 @@
 
 // usual is the time by which nearly all answers come.
 func (u *upstream) usual(now almondstep.Instant) time.Duration {
-	mean, deviation := u.latency(now, u.prior)
+	mean, deviation := u.expects(now)
 	return mean + usualDeviations*deviation
 }
+
+// compared says that something was seen of the upstream lately or of its kin, so
+// that it can be called late.
+func (u *upstream) compared(now almondstep.Instant) bool { return u.known(now) || u.kin.seen }
+
+// expects gives the mean and deviation of the next latency: by the upstream's own
+// lately, else by its kin's, else by how far away it is.
+func (u *upstream) expects(now almondstep.Instant) (mean, deviation time.Duration) {
+	switch {
+	case u.known(now):
+		return u.mean, u.deviation
+	case u.kin.seen:
+		return u.kin.mean, u.kin.deviation
+	default:
+		return u.prior, u.prior / priorSpread
+	}
+}
--- a/route_table.go
+++ b/route_table.go
@@ -43,6 +43,7 @@
 // RouteTable is one version of the routes. It is immutable.
 type RouteTable struct {
 	version  RouteVersion
+	routes   []*Route
 	byHost   map[string][]*Route
 	services map[ServiceName]RoutedService
 	limits   CallerLimits
@@ -64,6 +65,7 @@
 		r := &p.Routes[i]
 		host := strings.ToLower(r.parts.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.routes = append(t.routes, r)
 	}
 	for host, routes := range t.byHost {
 		slices.SortFunc(routes, longestPrefixFirst)
@@ -86,6 +88,9 @@
 // Version says which table this is.
 func (t *RouteTable) Version() RouteVersion { return t.version }
 
+// Routes lists all routes in the operators' order. The caller must not change it.
+func (t *RouteTable) Routes() []*Route { return t.routes }
+
 // Limits bound what a caller may send.
 func (t *RouteTable) Limits() CallerLimits { return t.limits }
 
