--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -74,7 +74,9 @@
 }
 
 func (p *pool) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{Timeout: p.client.DialTimeout}
+	// Silent connections are found by the calls on them, so that probes by the
+	// system would be waste.
+	d := net.Dialer{Timeout: p.client.DialTimeout, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", string(p.key.addr))
 	if err != nil {
 		p.release()
