Hand requests over many shards to the larger daemons of a zone

Cause: at 78 daemons a server accepts less than one connection from each, a daemon sees a single server every few seconds, and a request over 90 shards takes 7 ms of processor time, 37 ms on the smallest machines.

Change: where upstreams accept fewer than two connections from each daemon, the largest daemons of each zone ask the shards, as many as find two; the others match a request to their own routes and hand it over, by the delegates' cores. A refusal that is certain goes on to the next delegate and then to the shards; an unknown outcome is told at once. Bounds on retries: four fifths for those that ask shards.

Ruled out: fewer calls (the parts are needed); asking the shards after a delegate broke (90 repeats at once). At 6 and 9 daemons nothing is handed over.

--- a/directory.go
+++ b/directory.go
@@ -30,6 +30,8 @@
 	routes    *RouteTable
 	upstreams map[ServiceName][]*Upstream
 	daemons   int
+	gatherers int
+	delegates []Delegate
 }
 
 // DirectoryParts is what a directory is made of.
@@ -40,11 +42,25 @@
 	Upstreams map[ServiceName][]*Upstream
 	// Daemons is the number of daemons among which bounds are shared, at least 1.
 	Daemons int
+	// Gatherers is how many of them call the upstreams of shards; 0 means all.
+	Gatherers int
+	// Delegates are those of the own zone, if this daemon isn't one itself.
+	Delegates []Delegate
 }
 
 // NewDirectory freezes the parts. The caller must not change them after.
 func NewDirectory(p DirectoryParts) *Directory {
-	return &Directory{routes: p.Routes, upstreams: p.Upstreams, daemons: max(1, p.Daemons)}
+	d := &Directory{
+		routes:    p.Routes,
+		upstreams: p.Upstreams,
+		daemons:   max(1, p.Daemons),
+		gatherers: p.Gatherers,
+		delegates: p.Delegates,
+	}
+	if d.gatherers <= 0 || d.gatherers > d.daemons {
+		d.gatherers = d.daemons
+	}
+	return d
 }
 
 // Routes is the newest route table; nil as long as none is known.
@@ -59,3 +75,11 @@
 
 // Daemons is the number of daemons among which bounds are shared, at least 1.
 func (d *Directory) Daemons() int { return d.daemons }
+
+// Gatherers is the number of daemons that call the upstreams of shards, at least
+// 1. The others hand requests over shards to them.
+func (d *Directory) Gatherers() int { return d.gatherers }
+
+// Delegates are the daemons to which this one hands requests over shards; empty
+// if it asks the shards itself. The caller must not change it.
+func (d *Directory) Delegates() []Delegate { return d.delegates }
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -21,16 +21,40 @@
 	if d == nil || d.Routes() == nil {
 		return append(out, refuse(e.ID, almondstep.CodeNoConfiguration, configurationRetry))
 	}
-	route, ok := d.Routes().Match(e.Request.Host, e.Request.Path)
-	if !ok {
+	r := f.match(d, e)
+	if r == nil {
 		return append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
 	}
-	r := &request{id: e.ID, message: e.Request, route: route, directory: d}
-	r.trace.Route = route.Name()
-	r.trace.Version = d.Routes().Version()
 	r.setTimes(now, e.Remaining)
+	if f.handOver(now, r, &out) {
+		f.requests[r.id] = r
+		return r.arm(now, out)
+	}
+	return f.sendAll(now, r, out)
+}
+
+// match finds the request's route, unless another daemon has; nil if there is
+// none.
+func (f *Forwarder) match(d *almondstep.Directory, e *almondstep.RequestArrived) *request {
+	r := &request{id: e.ID, message: e.Request, route: e.Route, directory: d, own: e.Route != nil}
+	r.trace.Version = e.Version
+	if !r.own {
+		route, ok := d.Routes().Match(e.Request.Host, e.Request.Path)
+		if !ok {
+			return nil
+		}
+		r.route = route
+		r.trace.Version = d.Routes().Version()
+	}
+	r.trace.Route = r.route.Name()
+	return r
+}
+
+// sendAll sends the first call of each shard, if enough of them can be reached.
+func (f *Forwarder) sendAll(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
 	f.addShards(r)
 	if r.gathers() && !r.covers(f.reachable(now, r)) {
+		delete(f.requests, r.id)
 		return append(out, f.refuseUnsent(r))
 	}
 	r.trace.Missing = nil
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -102,7 +102,7 @@
 	}
 	step := s.step(now.Sub(r.arrivedAt), use)
 	paid := arrivals > 0
-	if paid && !f.budget.Take(now, s.service, r.directory.Daemons(), use) {
+	if paid && !f.budget.Take(now, s.service, r.sharing(s.service), use) {
 		r.trace.Denied++
 		step.What = "denied"
 		r.note(step)
@@ -171,7 +171,7 @@
 }
 
 // requesterGone gives up all calls of a request at once.
-func (f *Forwarder) requesterGone(id almondstep.QueryID, out []almondstep.Effect) []almondstep.Effect {
+func (f *Forwarder) requesterGone(now almondstep.Instant, id almondstep.QueryID, out []almondstep.Effect) []almondstep.Effect {
 	r := f.requests[id]
 	if r == nil {
 		return out
@@ -180,7 +180,7 @@
 	for i := range r.shards {
 		out = cancelOthers(r, &r.shards[i], 0, out)
 	}
-	return f.forget(r, out)
+	return f.forget(r, f.dropHanded(now, r, out))
 }
 
 // forget drops a request that is answered and has no calls out.
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -31,6 +31,8 @@
 	}
 	included := r.included()
 	switch {
+	case r.handed != nil && now < r.deadline:
+		return r.arm(now, out)
 	case r.open == 0, now >= r.deadline:
 	case now >= r.answerBy && r.gathers() && r.covers(included):
 	case r.gathers() && !r.covers(included+r.open):
@@ -44,7 +46,7 @@
 // arm sets a timer for the next thing that comes due, if none is set for it.
 func (r *request) arm(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	next := r.deadline
-	if now < r.answerBy && r.gathers() {
+	if now < r.answerBy && r.gathers() && r.handed == nil {
 		next = min(next, r.answerBy)
 	}
 	for i := range r.shards {
@@ -59,11 +61,17 @@
 	return append(out, &almondstep.SetRequestTimer{ID: r.id, After: max(0, next.Sub(now))})
 }
 
-// finish answers the request and gives up what is still out.
+// finish answers the request from what is in.
 func (f *Forwarder) finish(now almondstep.Instant, r *request, included int, out []almondstep.Effect) []almondstep.Effect {
 	reply := r.reply(now, included)
-	r.answered = true
 	reply.Trace = r.traced(now, included, reply.Outcome)
+	out = f.dropHanded(now, r, out)
+	return f.answer(r, reply, out)
+}
+
+// answer sends the reply and gives up what is still out.
+func (f *Forwarder) answer(r *request, reply *almondstep.Reply, out []almondstep.Effect) []almondstep.Effect {
+	r.answered = true
 	out = append(out, &almondstep.ReplyRequest{ID: r.id, Reply: reply})
 	for i := range r.shards {
 		out = cancelOthers(r, &r.shards[i], linger, out)
@@ -74,6 +82,9 @@
 // reply makes the answer from what is in.
 func (r *request) reply(now almondstep.Instant, included int) *almondstep.Reply {
 	switch {
+	case r.handed != nil:
+		r.trace.Delegate = r.handed.to
+		return &almondstep.Reply{Outcome: almondstep.OutcomeUnknown, Code: almondstep.CodeDeadline}
 	case r.gathers() && r.covers(included):
 		return r.merged(included)
 	case !r.gathers() && r.shards[0].part != nil:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,8 @@
 	requests map[almondstep.QueryID]*request
 	calls    map[almondstep.CallID]callRef
 	splits   map[almondstep.RouteName]*split
+	mates    mates
+	region   almondstep.RegionName
 	lastCall almondstep.CallID
 }
 
@@ -50,6 +52,7 @@
 		requests: make(map[almondstep.QueryID]*request),
 		calls:    make(map[almondstep.CallID]callRef),
 		splits:   make(map[almondstep.RouteName]*split),
+		region:   cfg.Region,
 	}
 }
 
@@ -60,13 +63,16 @@
 		return f.arrived(now, v, e, out)
 	case *almondstep.CallEnded:
 		return f.callEnded(now, e, out)
+	case *almondstep.GatherEnded:
+		return f.gatherEnded(now, e, out)
 	case *almondstep.RequestTimer:
 		return f.timer(now, e.ID, out)
 	case *almondstep.RequesterGone:
-		return f.requesterGone(e.ID, out)
+		return f.requesterGone(now, e.ID, out)
 	case *almondstep.ViewChanged:
 		if d := v.Directory(); d != nil {
 			f.picker.Keep(d)
+			f.mates.keep(d.Delegates())
 		}
 	}
 	return out
--- a/forwarder/quiet_test.go
+++ b/forwarder/quiet_test.go
@@ -7,6 +7,9 @@
 	"almondstep"
 )
 
+// farOff is when a call to a paused upstream begins to be worked on.
+const farOff = almondstep.Instant(1 << 62)
+
 // quietLoad plays one request over many shards, each answered after takes, but
 // for the first calls to the shards that are paused. It gives the answer and the
 // number of calls beyond the first of each shard.
@@ -23,13 +26,13 @@
 			at, known := sentAt[c.Call]
 			if !known {
 				at = w.now
-				sentAt[c.Call] = at
 				if paused[c.Upstream.Service] && !again[c.Upstream.Service] {
 					again[c.Upstream.Service] = true
-					sentAt[c.Call] = almondstep.Instant(1 << 62)
+					at = farOff
 				}
+				sentAt[c.Call] = at
 			}
-			if w.sent[c.Call] != nil && w.now >= sentAt[c.Call].Add(takes) {
+			if w.sent[c.Call] != nil && w.now >= at.Add(takes) {
 				w.endAfter(c, almondstep.CallDone, record('a'), takes)
 			}
 		}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -24,6 +24,13 @@
 	open     int
 	out      int
 	answered bool
+	// own says that this daemon must ask the shards itself, since another one has
+	// handed the request over.
+	own bool
+	// handed is the call to a delegate that is out, if there is one; handedTo are
+	// those that were asked.
+	handed   *handed
+	handedTo []almondstep.DaemonID
 	// timerAt is when the armed timer comes due; 0 if none is armed.
 	timerAt almondstep.Instant
 	trace   almondstep.RequestTrace
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -74,7 +74,7 @@
 		if !ok {
 			return nil, false
 		}
-		if !f.picker.Cold(now, u) || f.cold.Take(now, u.ID, service.ColdPerSecond, r.directory.Daemons()) {
+		if !f.picker.Cold(now, u) || f.cold.Take(now, u.ID, service.ColdPerSecond, r.sharing(s.service)) {
 			return u, true
 		}
 		overRate = append(overRate, u)
@@ -84,7 +84,40 @@
 // connections is this daemon's share of the connections to one upstream.
 func (f *Forwarder) connections(r *request, s almondstep.ServiceName) int {
 	service, _ := r.directory.Routes().Service(s)
-	return max(1, service.MaxConnections/r.directory.Daemons())
+	callers := r.directory.Daemons()
+	if r.directory.Routes().IsShard(s) && len(r.directory.Delegates()) == 0 {
+		callers = r.directory.Gatherers()
+	}
+	return max(1, service.MaxConnections/callers)
+}
+
+// Of a bound on the calls to shards, four fifths are shared by the daemons that ask
+// them, and a fifth by those that do so only while they have no delegate.
+const (
+	gathererShareNum = 5
+	gathererShareDen = 4
+	othersShare      = 5
+)
+
+// sharing is the number of daemons by which this one divides a bound.
+func (r *request) sharing(s almondstep.ServiceName) int { return Sharing(r.directory, s) }
+
+// Sharing is the number by which a daemon divides a bound on the calls of all
+// daemons to a service. It is as the directory says whether the daemon itself asks
+// shards.
+//
+// Example: 78 daemons, of which 30 ask shards. These divide by 38, and the other 48
+// by 240: together they have 30/38 + 48/240, or 0.99 of the bound.
+func Sharing(d *almondstep.Directory, s almondstep.ServiceName) int {
+	others := d.Daemons() - d.Gatherers()
+	switch {
+	case others == 0 || !d.Routes().IsShard(s):
+		return d.Daemons()
+	case len(d.Delegates()) > 0:
+		return others * othersShare
+	default:
+		return (d.Gatherers()*gathererShareNum + gathererShareDen - 1) / gathererShareDen
+	}
 }
 
 // hedgeTime is as late as another upstream can still answer in time, with nearly
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -22,6 +22,7 @@
 	now     almondstep.Instant
 	sent    map[almondstep.CallID]*almondstep.SendCall
 	order   []*almondstep.SendCall
+	handed  []*almondstep.SendGather
 	cancels map[almondstep.CallID]time.Duration
 	timers  map[almondstep.QueryID][]almondstep.Instant
 	replies map[almondstep.QueryID]*almondstep.Reply
@@ -56,6 +57,8 @@
 		case *almondstep.SendCall:
 			w.sent[f.Call] = f
 			w.order = append(w.order, f)
+		case *almondstep.SendGather:
+			w.handed = append(w.handed, f)
 		case *almondstep.CancelCall:
 			w.cancels[f.Call] = f.After
 		case *almondstep.SetRequestTimer:
--- a/message_registry.go
+++ b/message_registry.go
@@ -73,6 +73,8 @@
 	// empty if it doesn't say or is gone.
 	Zone ZoneName `json:"zone,omitempty"`
 	Addr Address  `json:"addr,omitempty"`
+	// Cores is the processor time that its VM has, in cores; 0 if it isn't known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // RegistryRead brings the outcome of a ReadRegistry.
--- a/message_request.go
+++ b/message_request.go
@@ -64,6 +64,10 @@
 	Request *RequestMessage `json:"request"`
 	// Remaining is how long the caller waits; 0 if it didn't say.
 	Remaining time.Duration `json:"remaining"`
+	// Route is set where another daemon has matched the request and hands it over;
+	// Version is that of its routes.
+	Route   *Route       `json:"-"`
+	Version RouteVersion `json:"version,omitempty"`
 }
 
 // RequesterGone says that the caller of a request has gone away.
@@ -162,11 +166,13 @@
 
 // RequestTrace says what decided a request's outcome, for its log line.
 type RequestTrace struct {
-	Route    RouteName    `json:"route"`
-	Version  RouteVersion `json:"version"`
-	Shards   int          `json:"shards"`
-	Included int          `json:"included"`
-	Calls    int          `json:"calls"`
+	Route   RouteName    `json:"route"`
+	Version RouteVersion `json:"version"`
+	// Delegate is the daemon that asked the shards, if it was another one.
+	Delegate DaemonID `json:"delegate,omitempty"`
+	Shards   int      `json:"shards"`
+	Included int      `json:"included"`
+	Calls    int      `json:"calls"`
 	// Hedges and Retries count the further calls of the shards.
 	Hedges  int `json:"hedges"`
 	Retries int `json:"retries"`
--- /dev/null
+++ b/messenger/delegate.go
@@ -0,0 +1,164 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"almondstep"
+	"almondstep/messenger/peerpb"
+)
+
+// Gather hands a request over shards to another daemon.
+func (c *Client) Gather(ctx context.Context, to almondstep.Address, ask *almondstep.GatherAsked) (*almondstep.Reply, error) {
+	r, err := call(ctx, c.peer(to), (*clients).Gather, encodeGather(ask))
+	if err != nil {
+		return nil, classify(err)
+	}
+	return decodeGathered(r)
+}
+
+// gatherHandler is the generated interface over a GatherServer.
+type gatherHandler struct {
+	gatherer almondstep.GatherServer
+}
+
+// Gather answers once the shards have, or the asker's time is over.
+func (h *gatherHandler) Gather(ctx context.Context, r *peerpb.GatherRequest) (*peerpb.GatherReply, error) {
+	ask, err := decodeGather(r)
+	if err != nil {
+		return nil, refuse(errors.Mark(err, almondstep.ErrNotRun))
+	}
+	reply, err := h.gatherer.Gather(ctx, ask)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return encodeGathered(reply)
+}
+
+func encodeGather(ask *almondstep.GatherAsked) *peerpb.GatherRequest {
+	m, p := ask.Request, ask.Route.Parts()
+	r := &peerpb.GatherRequest{
+		Key:       m.Key,
+		Method:    m.Method,
+		Target:    m.Target,
+		Path:      m.Path,
+		Host:      m.Host,
+		Header:    make([]*peerpb.HeaderField, len(m.Header)),
+		Body:      m.Body,
+		Remaining: int64(ask.Remaining),
+		Route: &peerpb.GatherRoute{
+			Name:          string(p.Name),
+			Host:          p.Host,
+			Prefix:        p.Prefix,
+			Timeout:       int64(p.Timeout),
+			LatencyTarget: int64(p.LatencyTarget),
+			Priority:      int32(p.Priority),
+			Attempts:      int32(p.Attempts),
+			Records:       int32(p.Records),
+			LeastCoverage: p.LeastCoverage,
+			Version:       uint64(ask.Version),
+			Shards:        make([]string, len(p.Shards)),
+		},
+	}
+	for i, f := range m.Header {
+		r.Header[i] = &peerpb.HeaderField{Name: f.Name, Value: f.Value}
+	}
+	for i, s := range p.Shards {
+		r.Route.Shards[i] = string(s)
+	}
+	for _, region := range p.Regions {
+		r.Route.Regions = append(r.Route.Regions, string(region))
+	}
+	return r
+}
+
+func decodeGather(r *peerpb.GatherRequest) (*almondstep.GatherAsked, error) {
+	m := &almondstep.RequestMessage{
+		Key:    r.GetKey(),
+		Method: r.GetMethod(),
+		Target: r.GetTarget(),
+		Path:   r.GetPath(),
+		Host:   r.GetHost(),
+		Body:   r.GetBody(),
+		Header: make(almondstep.Header, len(r.GetHeader())),
+	}
+	for i, f := range r.GetHeader() {
+		m.Header[i] = almondstep.HeaderField{Name: f.GetName(), Value: f.GetValue()}
+	}
+	route, err := decodeRoute(r.GetRoute())
+	if err != nil {
+		return nil, err
+	}
+	return &almondstep.GatherAsked{
+		Request:   m,
+		Route:     &route,
+		Version:   almondstep.RouteVersion(r.GetRoute().GetVersion()),
+		Remaining: time.Duration(r.GetRemaining()),
+	}, nil
+}
+
+// decodeRoute makes the route. Requests over shards are idempotent.
+func decodeRoute(r *peerpb.GatherRoute) (almondstep.Route, error) {
+	p := almondstep.RouteParts{
+		Name:          almondstep.RouteName(r.GetName()),
+		Host:          r.GetHost(),
+		Prefix:        r.GetPrefix(),
+		Idempotent:    true,
+		Timeout:       time.Duration(r.GetTimeout()),
+		LatencyTarget: time.Duration(r.GetLatencyTarget()),
+		Priority:      int(r.GetPriority()),
+		Attempts:      int(r.GetAttempts()),
+		Records:       int(r.GetRecords()),
+		LeastCoverage: r.GetLeastCoverage(),
+		Shards:        make([]almondstep.ServiceName, len(r.GetShards())),
+	}
+	for i, s := range r.GetShards() {
+		p.Shards[i] = almondstep.ServiceName(s)
+	}
+	for _, region := range r.GetRegions() {
+		p.Regions = append(p.Regions, almondstep.RegionName(region))
+	}
+	return almondstep.NewRoute(p)
+}
+
+func encodeGathered(reply *almondstep.Reply) (*peerpb.GatherReply, error) {
+	trace, err := json.Marshal(reply.Trace)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	r := &peerpb.GatherReply{
+		Outcome:    string(reply.Outcome),
+		Code:       string(reply.Code),
+		RetryAfter: int64(reply.RetryAfter),
+		Trace:      trace,
+	}
+	if m := reply.Merged; m != nil {
+		r.Merged = true
+		r.Records = m.Records
+		r.Signatures = m.Signatures
+		r.Missing = int32(m.Missing)
+	}
+	return r, nil
+}
+
+func decodeGathered(r *peerpb.GatherReply) (*almondstep.Reply, error) {
+	reply := &almondstep.Reply{
+		Outcome:    almondstep.Outcome(r.GetOutcome()),
+		Code:       almondstep.RefusalCode(r.GetCode()),
+		RetryAfter: time.Duration(r.GetRetryAfter()),
+	}
+	if err := json.Unmarshal(r.GetTrace(), &reply.Trace); err != nil {
+		return nil, errors.Wrapf(almondstep.ErrUnavailable, "trace: %v", err)
+	}
+	if r.GetMerged() {
+		reply.Merged = &almondstep.MergedAnswer{
+			Records:    r.GetRecords(),
+			Signatures: r.GetSignatures(),
+			Missing:    int(r.GetMissing()),
+		}
+	}
+	return reply, nil
+}
--- a/messenger/fill_test.go
+++ b/messenger/fill_test.go
@@ -33,6 +33,11 @@
 		v.SetInt(*next)
 	case reflect.Int64:
 		v.SetInt(*next * int64(time.Millisecond))
+	case reflect.Float64:
+		v.SetFloat(float64(*next))
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), next)
 	case reflect.Uint8, reflect.Uint32, reflect.Uint64:
 		v.SetUint(uint64(*next))
 	default:
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -246,3 +246,55 @@
 		t.Errorf("got %v of a server without news, want ErrUnavailable", err)
 	}
 }
+
+// delegate is a GatherServer that answers from what it is asked.
+type delegate struct {
+	asked *almondstep.GatherAsked
+	err   error
+}
+
+func (d *delegate) Gather(_ context.Context, ask *almondstep.GatherAsked) (*almondstep.Reply, error) {
+	d.asked = ask
+	reply := filled[almondstep.Reply]()
+	reply.Response = nil
+	return reply, d.err
+}
+
+// A request that is handed over arrives with every field, and so does its answer;
+// a refusal says that nothing has run.
+func TestHandOverSurvivesTheWire(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &delegate{}
+	s := &messenger.Server{Gatherer: d}
+	s.Init()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	parts := *filled[almondstep.RouteParts]()
+	parts.Host, parts.Prefix, parts.Targets, parts.LeastCoverage = "lots.example", "/lots/", nil, 0.5
+	route, err := almondstep.NewRoute(parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := &almondstep.GatherAsked{Request: filled[almondstep.RequestMessage](), Route: &route, Version: 7, Remaining: time.Second}
+	c := &messenger.Client{}
+	addr := almondstep.Address(l.Addr().String())
+	got, err := c.Gather(t.Context(), addr, ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := filled[almondstep.Reply]()
+	want.Response = nil
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got answer %+v, want %+v", got, want)
+	}
+	if !reflect.DeepEqual(d.asked, ask) {
+		t.Errorf("got request %+v over %+v, want %+v over %+v", d.asked.Request, d.asked.Route, ask.Request, ask.Route)
+	}
+	d.err = almondstep.ErrNotRun
+	if _, err := c.Gather(t.Context(), addr, ask); !errors.Is(err, almondstep.ErrNotRun) {
+		t.Errorf("got %v of a daemon that refuses, want ErrNotRun", err)
+	}
+}
--- a/messenger/news.go
+++ b/messenger/news.go
@@ -8,7 +8,7 @@
 	"almondstep/messenger/peerpb"
 )
 
-var _ almondstep.NewsClient = (*Client)(nil)
+var _ almondstep.MateClient = (*Client)(nil)
 
 // News waits, at most wait, for what a daemon learns from the registry after a
 // revision.
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -38,6 +38,7 @@
 type clients struct {
 	peerpb.Peer
 	peerpb.News
+	peerpb.Delegate
 }
 
 // use gives the clients over the present connection.
@@ -50,6 +51,8 @@
 		p.client = &clients{
 			Peer: peerpb.NewPeerProtobufClient(p.base(), c),
 			News: peerpb.NewNewsProtobufClient(p.base(), c),
+
+			Delegate: peerpb.NewDelegateProtobufClient(p.base(), c),
 		}
 	}
 	return p.client
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -28,10 +28,11 @@
 
 // Server answers the messages of other daemons through a PeerServer.
 type Server struct {
-	// Peer does the work, and News tells of the registry; nil refuses the calls of
-	// either.
-	Peer almondstep.PeerServer
-	News almondstep.NewsServer
+	// Peer does the work, News tells of the registry and Gatherer asks shards for
+	// others; nil refuses the calls of each.
+	Peer     almondstep.PeerServer
+	News     almondstep.NewsServer
+	Gatherer almondstep.GatherServer
 	// TLS is the certificate and the authorities; nil talks in the clear.
 	TLS *tls.Config
 	// Sent, if set, is told the encoded size of each control message.
@@ -66,6 +67,9 @@
 	if s.News != nil {
 		services.Handle(peerpb.NewsPathPrefix, peerpb.NewNewsServer(&newsHandler{news: s.News}))
 	}
+	if s.Gatherer != nil {
+		services.Handle(peerpb.DelegatePathPrefix, peerpb.NewDelegateServer(&gatherHandler{gatherer: s.Gatherer}))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
--- a/outside.go
+++ b/outside.go
@@ -58,6 +58,21 @@
 	News(ctx context.Context, after uint64, wait time.Duration) (*RegistryNews, error)
 }
 
+// GatherServer answers requests over shards that other daemons hand over. It
+// returns ErrNotRun if it is certain that the request has not run.
+type GatherServer interface {
+	Gather(ctx context.Context, ask *GatherAsked) (*Reply, error)
+}
+
+// MateClient talks to the other daemons of a zone.
+type MateClient interface {
+	NewsClient
+	// Gather hands a request over shards to another daemon. It returns ErrNotRun if
+	// it is certain that the request has not run, and ErrUnavailable if no answer
+	// came.
+	Gather(ctx context.Context, to Address, ask *GatherAsked) (*Reply, error)
+}
+
 // NewsClient asks another daemon what changes in the registry.
 type NewsClient interface {
 	News(ctx context.Context, to Address, after uint64, wait time.Duration) (*RegistryNews, error)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -47,7 +47,8 @@
 	case *almondstep.WorkArrived, *almondstep.CollectArrived, *almondstep.CancelArrived,
 		*almondstep.GatherTimer, *almondstep.ItemFinished:
 		return reduceIn(r.Gathers, now, v, e, out)
-	case *almondstep.RequestArrived, *almondstep.RequesterGone, *almondstep.RequestTimer, *almondstep.CallEnded:
+	case *almondstep.RequestArrived, *almondstep.RequesterGone, *almondstep.RequestTimer, *almondstep.CallEnded,
+		*almondstep.GatherEnded:
 		return reduceIn(r.Requests, now, v, e, out)
 	case almondstep.QueryEvent:
 		return reduceIn(r.Queries, now, v, e, out)
--- a/route.go
+++ b/route.go
@@ -123,6 +123,10 @@
 // LeastCoverage is the share of the shards that an answer needs.
 func (r *Route) LeastCoverage() float64 { return r.parts.LeastCoverage }
 
+// Parts is what the route is made of, to be passed on. The caller must not change
+// what its slices hold.
+func (r *Route) Parts() RouteParts { return r.parts }
+
 // Allows says whether upstreams of a region may see the requests.
 func (r *Route) Allows(region RegionName) bool {
 	for _, allowed := range r.parts.Regions {
--- a/route_table.go
+++ b/route_table.go
@@ -46,6 +46,7 @@
 	routes   []*Route
 	byHost   map[string][]*Route
 	services map[ServiceName]RoutedService
+	shards   map[ServiceName]bool
 	limits   CallerLimits
 }
 
@@ -56,6 +57,7 @@
 		version:  p.Version,
 		byHost:   make(map[string][]*Route),
 		services: make(map[ServiceName]RoutedService, len(p.Services)),
+		shards:   make(map[ServiceName]bool),
 		limits:   p.Limits,
 	}
 	for _, s := range p.Services {
@@ -66,6 +68,9 @@
 		host := strings.ToLower(r.parts.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 		t.routes = append(t.routes, r)
+		for _, s := range r.parts.Shards {
+			t.shards[s] = true
+		}
 	}
 	for host, routes := range t.byHost {
 		slices.SortFunc(routes, longestPrefixFirst)
@@ -91,6 +96,26 @@
 // Routes lists all routes in the operators' order. The caller must not change it.
 func (t *RouteTable) Routes() []*Route { return t.routes }
 
+// IsShard says whether a service is a shard of some route.
+func (t *RouteTable) IsShard(s ServiceName) bool { return t.shards[s] }
+
+// LeastShardConnections is the number of connections that an upstream of each
+// shard accepts at least, from all daemons together; 0 if there are no shards or
+// one doesn't say.
+func (t *RouteTable) LeastShardConnections() int {
+	least := 0
+	for s := range t.shards {
+		n := t.services[s].MaxConnections
+		if n == 0 {
+			return 0
+		}
+		if least == 0 || n < least {
+			least = n
+		}
+	}
+	return least
+}
+
 // Limits bound what a caller may send.
 func (t *RouteTable) Limits() CallerLimits { return t.limits }
 
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -39,6 +39,8 @@
 		t.replyCaller(f)
 	case *almondstep.ClaimKey:
 		t.claimKey(f)
+	case *almondstep.SendGather:
+		t.sendGather(f)
 	case *almondstep.SendCall:
 		t.sendCall(f)
 	case *almondstep.CancelCall:
--- a/runner/requests.go
+++ b/runner/requests.go
@@ -12,24 +12,28 @@
 // Forward answers a caller's request for a route. When the caller goes away
 // first, its calls are given up and the reply says that the outcome is unknown.
 func (r *Runner) Forward(ctx context.Context, e *almondstep.RequestArrived) *almondstep.Reply {
+	answer := r.forward(ctx, e)
+	r.Recorder.Replied(answer.Trace.Route, answer)
+	return answer
+}
+
+func (r *Runner) forward(ctx context.Context, e *almondstep.RequestArrived) *almondstep.Reply {
 	t := r.queryThread(e.ID)
 	reply := make(chan *almondstep.Reply, 1)
 	t.waitersMu.Lock()
 	t.requesters[e.ID] = reply
 	t.waitersMu.Unlock()
 	t.push(e)
-	var answer *almondstep.Reply
 	select {
-	case answer = <-reply:
+	case answer := <-reply:
+		return answer
 	case <-ctx.Done():
 		t.waitersMu.Lock()
 		delete(t.requesters, e.ID)
 		t.waitersMu.Unlock()
 		t.push(&almondstep.RequesterGone{ID: e.ID})
-		answer = &almondstep.Reply{Outcome: almondstep.OutcomeUnknown, Code: almondstep.CodeCallerGone}
+		return &almondstep.Reply{Outcome: almondstep.OutcomeUnknown, Code: almondstep.CodeCallerGone}
 	}
-	r.Recorder.Replied(answer.Trace.Route, answer)
-	return answer
 }
 
 func (t *thread) replyRequest(f *almondstep.ReplyRequest) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,8 +46,10 @@
 	// Registry and Exchanger serve routed requests; nil if there are none.
 	Registry  almondstep.Registry
 	Exchanger almondstep.Exchanger
-	// Mates asks other daemons what changes in the registry.
-	Mates almondstep.NewsClient
+	// Mates talks to the other daemons of the zone; NextQuery draws the id of a
+	// request that one of them hands over.
+	Mates     almondstep.MateClient
+	NextQuery func() almondstep.QueryID
 
 	start   time.Time
 	view    atomic.Pointer[almondstep.View]
@@ -70,6 +72,8 @@
 	_ almondstep.Frontend   = (*Runner)(nil)
 	_ almondstep.PeerServer = (*Runner)(nil)
 	_ almondstep.NewsServer = (*Runner)(nil)
+
+	_ almondstep.GatherServer = (*Runner)(nil)
 )
 
 // Init makes the threads; call it once, before Run and before anything is
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -34,7 +34,7 @@
 		out = append(out, w.report("zone out changed", string(z.Zone), outWord(z.Out), c.Revision))
 	}
 	for _, d := range c.Daemons {
-		w.applyDaemon(now, d)
+		changed = w.applyDaemon(now, d) || changed
 	}
 	return changed || w.shared != w.sharing(), out
 }
@@ -131,17 +131,19 @@
 	}
 	for id := range w.daemons {
 		if !alive[id] {
-			w.applyDaemon(now, almondstep.DaemonChange{Daemon: id})
+			changed = w.applyDaemon(now, almondstep.DaemonChange{Daemon: id}) || changed
 		}
 	}
 	return changed
 }
 
-func (w *Watcher) applyDaemon(now almondstep.Instant, c almondstep.DaemonChange) {
+// applyDaemon takes in that a daemon has come or gone, and says whether that
+// changes who can be asked.
+func (w *Watcher) applyDaemon(now almondstep.Instant, c almondstep.DaemonChange) bool {
 	d, known := w.daemons[c.Daemon]
 	if !known {
 		if !c.Alive {
-			return
+			return false
 		}
 		d = &daemon{}
 		w.daemons[c.Daemon] = d
@@ -149,9 +151,12 @@
 	if d.alive && !c.Alive {
 		d.goneAt = now.Add(daemonHolds)
 	}
+	was := *d
 	d.alive = c.Alive
 	d.zone = c.Zone
 	d.addr = c.Addr
+	d.cores = c.Cores
+	return *d != was
 }
 
 // expire drops the lapsed entries that have not come back, and says whether any
@@ -180,6 +185,7 @@
 // publish makes a view of what is known.
 func (w *Watcher) publish(out []almondstep.Effect) []almondstep.Effect {
 	w.shared = w.sharing()
+	gatherers := w.gatherers()
 	upstreams := make(map[almondstep.ServiceName][]*almondstep.Upstream)
 	for _, key := range slices.Sorted(maps.Keys(w.entries)) {
 		u := w.entries[key].upstream
@@ -196,6 +202,8 @@
 			Routes:    w.routes,
 			Upstreams: upstreams,
 			Daemons:   w.shared,
+			Gatherers: gatherers,
+			Delegates: w.delegates(gatherers),
 		}),
 	}
 	if w.routes != nil {
--- /dev/null
+++ b/watcher/delegates.go
@@ -0,0 +1,71 @@
+package watcher
+
+import (
+	"cmp"
+	"slices"
+
+	"almondstep"
+)
+
+const (
+	// connectionsEach is the number of connections to each upstream that a daemon
+	// needs that asks shards: one call may be under way beside another.
+	connectionsEach = 2
+	// leastGatherers is the number of daemons in a zone that ask shards at least,
+	// so that the loss of one is borne.
+	leastGatherers = 3
+)
+
+// gatherers says how many daemons may call the upstreams of shards: as many as
+// find connectionsEach of the connections there; all, where no bound is stated.
+func (w *Watcher) gatherers() int {
+	all := w.sharing()
+	if w.routes == nil {
+		return all
+	}
+	accepted := w.routes.LeastShardConnections()
+	if accepted == 0 {
+		return all
+	}
+	return min(all, max(1, accepted/connectionsEach))
+}
+
+// delegates are the daemons of the own zone that ask shards for all: the largest,
+// as many as are the zone's part of the gatherers. None if this daemon is one of
+// them, or if all are.
+//
+// Example: 13 of 78 daemons are in the zone, and 30 may ask shards: the 5 with the
+// most cores do.
+func (w *Watcher) delegates(gatherers int) []almondstep.Delegate {
+	all := w.sharing()
+	if gatherers >= all {
+		return nil
+	}
+	zone := w.zoneBySize()
+	n := max(leastGatherers, gatherers*len(zone)/all)
+	if n >= len(zone) {
+		return nil
+	}
+	zone = zone[:n]
+	for _, d := range zone {
+		if d.ID == w.cfg.Self {
+			return nil
+		}
+	}
+	return zone
+}
+
+// zoneBySize lists the daemons of the own zone that can be asked, and this one, the
+// largest first. Among those of one size the zone's order decides.
+func (w *Watcher) zoneBySize() []almondstep.Delegate {
+	var zone []almondstep.Delegate
+	for _, id := range w.mates() {
+		d := almondstep.Delegate{ID: id, Cores: w.cfg.Cores}
+		if id != w.cfg.Self {
+			d.Addr, d.Cores = w.daemons[id].addr, w.daemons[id].cores
+		}
+		zone = append(zone, d)
+	}
+	slices.SortStableFunc(zone, func(a, b almondstep.Delegate) int { return cmp.Compare(b.Cores, a.Cores) })
+	return zone
+}
--- /dev/null
+++ b/watcher/delegates_test.go
@@ -0,0 +1,94 @@
+package watcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/watcher"
+)
+
+// viewsOf gives the view of each daemon of zone z, where as many others stand in
+// other zones, and upstreams of shards accept so many connections.
+func viewsOf(t *testing.T, cores []float64, others, connections int) []*almondstep.View {
+	t.Helper()
+	search, err := almondstep.NewRoute(almondstep.RouteParts{
+		Name: "search", Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Second, Shards: []almondstep.ServiceName{"s1", "s2"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes, err := almondstep.NewRouteTable(almondstep.RouteTableParts{
+		Version: 1, Routes: []almondstep.Route{search},
+		Services: []almondstep.RoutedService{{Name: "s1", MaxConnections: connections}, {Name: "s2", MaxConnections: connections}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := &almondstep.RegistryChanges{Revision: 9, Routes: routes}
+	id := func(i int) almondstep.DaemonID { return almondstep.DaemonID(fmt.Sprintf("d%02d", i)) }
+	for i, c := range cores {
+		changes.Daemons = append(changes.Daemons, almondstep.DaemonChange{Daemon: id(i), Alive: true, Zone: "z", Addr: almondstep.Address(id(i)), Cores: c})
+	}
+	for i := range others {
+		changes.Daemons = append(changes.Daemons, almondstep.DaemonChange{Daemon: almondstep.DaemonID(fmt.Sprintf("o%02d", i)), Alive: true, Zone: "y", Addr: "o"})
+	}
+	var views []*almondstep.View
+	for i, c := range cores {
+		w := watcher.New(watcher.Config{Self: id(i), Zone: "z", Cores: c})
+		for _, f := range w.Reduce(almondstep.Instant(time.Second), &almondstep.RegistryRead{Whole: true, Changes: changes}, nil) {
+			if p, ok := f.(*almondstep.PublishView); ok {
+				views = append(views, p.View)
+			}
+		}
+	}
+	return views
+}
+
+// Where upstreams accept fewer connections than two from each daemon, the largest
+// daemons of a zone ask the shards, and all of the zone name the same ones.
+func TestLargestAskShards(t *testing.T) {
+	cores := []float64{0.2, 0.8, 0.4, 0.2, 0.8, 0.4, 0.2, 0.4, 0.2, 0.2, 0.4, 0.2, 0.8}
+	askers := 0
+	for i, v := range viewsOf(t, cores, 65, 61) {
+		d := v.Directory()
+		if got, want := d.Gatherers(), 30; got != want {
+			t.Errorf("got %d gatherers, want %d", got, want)
+		}
+		if len(d.Delegates()) == 0 {
+			askers++
+			if cores[i] < 0.4 {
+				t.Errorf("one with %v cores asks shards", cores[i])
+			}
+			continue
+		}
+		if got, want := len(d.Delegates()), 5; got != want {
+			t.Errorf("got %d delegates, want %d", got, want)
+		}
+		for _, g := range d.Delegates() {
+			if g.Cores < 0.4 || g.Addr == "" {
+				t.Errorf("got delegate %+v, want one of the largest", g)
+			}
+		}
+	}
+	if got, want := askers, 5; got != want {
+		t.Errorf("got %d daemons that ask shards, want %d", got, want)
+	}
+}
+
+// Where connections are enough, or no bound is stated, or the zone is small, every
+// daemon asks the shards itself.
+func TestAllAskShards(t *testing.T) {
+	for name, views := range map[string][]*almondstep.View{
+		"9 daemons":  viewsOf(t, []float64{0.4, 0.4, 0.4}, 6, 26),
+		"no bound":   viewsOf(t, []float64{0.2, 0.4, 0.4, 0.4, 0.8}, 73, 0),
+		"small zone": viewsOf(t, []float64{0.2, 0.4, 0.8}, 75, 61),
+	} {
+		for _, v := range views {
+			if got := len(v.Directory().Delegates()); got != 0 {
+				t.Errorf("%s: got %d delegates, want none", name, got)
+			}
+		}
+	}
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -32,6 +32,8 @@
 type Config struct {
 	Self almondstep.DaemonID
 	Zone almondstep.ZoneName
+	// Cores is the processor time that this daemon's VM has, in cores.
+	Cores float64
 	// WatchWait is how long a watch waits for a change; 0 means DefaultWatchWait.
 	WatchWait time.Duration
 }
@@ -80,6 +82,7 @@
 	alive bool
 	zone  almondstep.ZoneName
 	addr  almondstep.Address
+	cores float64
 	// goneAt is when a daemon without a lease no longer counts.
 	goneAt almondstep.Instant
 }
