--- a/commander/verbs.go
+++ b/commander/verbs.go
@@ -20,6 +20,7 @@
 		{demoName, "Show the whole path in one process and check what it promises.", newDemo},
 		{loadName, "Run a scenario under a steady rate, beside naive policies.", newLoad},
 		{standinName, "Run a stand-in for the platform, or for an upstream.", newStandin},
+		{soakName, "Let faults befall daemons of the users' platform and check what callers and servers see.", newSoak},
 		{rollbackName, "Put a former text in force again, as a new revision.", newRollback},
 	}
 }
