Small daemons hand requests over many shards to larger ones, whatever the connections

Change: of a zone's daemons those ask shards that are at least half as large as the largest, three at least.

--- a/commander/verb_soak.go
+++ b/commander/verb_soak.go
@@ -47,6 +47,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", s.Seed)
 		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(ctx.Err(), "seed %d was cut short", s.Seed)
+		}
 		if !writeSoakReport(env, r) {
 			failed++
 		}
--- a/watcher/delegates.go
+++ b/watcher/delegates.go
@@ -14,6 +14,9 @@
 	// leastGatherers is the number of daemons in a zone that ask shards at least,
 	// so that the loss of one is borne.
 	leastGatherers = 3
+	// smallest is how many times as large as a daemon that asks shards the largest
+	// one may be: the work for many calls would hold a smaller one up.
+	smallest = 2
 )
 
 // gatherers says how many daemons may call the upstreams of shards: as many as
@@ -31,18 +34,17 @@
 }
 
 // delegates are the daemons of the own zone that ask shards for all: the largest,
-// as many as are the zone's part of the gatherers. None if this daemon is one of
-// them, or if all are.
+// as many as are the zone's part of the gatherers, without those that are less than
+// half as large as the largest. None if this daemon is one of them, or if all are.
 //
 // Example: 13 of 78 daemons are in the zone, and 30 may ask shards: the 5 with the
-// most cores do.
+// most cores do, if the fifth has at least half as many as the first.
 func (w *Watcher) delegates(gatherers int) []almondstep.Delegate {
-	all := w.sharing()
-	if gatherers >= all {
-		return nil
-	}
 	zone := w.zoneBySize()
-	n := max(leastGatherers, gatherers*len(zone)/all)
+	n := max(leastGatherers, gatherers*len(zone)/w.sharing())
+	for n > leastGatherers && n <= len(zone) && zone[n-1].Cores*smallest < zone[0].Cores {
+		n--
+	}
 	if n >= len(zone) {
 		return nil
 	}
