--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -2,9 +2,11 @@
 // is sent to, when it is sent to another one, and when and how it is answered.
 //
 // A request goes to one upstream of its service, or to one of each shard. Calls
-// go to the upstreams directly: any daemon may call any upstream, within bounds
-// that each daemon keeps for itself (package budgeter).
+// go to the upstreams directly, within bounds that each daemon keeps for itself
+// (package budgeter). Where the directory names delegates, a request over many
+// shards is handed to one of them instead, which calls the upstreams.
 //
+//	RequestArrived -> SendGather, SetRequestTimer -> GatherEnded -> ReplyRequest
 //	RequestArrived -> SendCall ... SendCall, SetRequestTimer
 //	CallEnded      -> (another SendCall) -> ReplyRequest
 //	RequestTimer   -> hedges, then ReplyRequest with the parts that are in
--- a/watcher/doc.go
+++ b/watcher/doc.go
@@ -9,5 +9,8 @@
 //	watch fails ... watch answers: entry removed -> kept for LapseGrace
 //	watch answers: entry removed                 -> no new requests at once
 //
+// The daemons of a zone read for each other (source.go): one reads the registry,
+// the others ask it for news, and each can take over.
+//
 // The version of the routes only rises. There is no clock and no I/O here.
 package watcher
