--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -21,7 +21,7 @@
 	c.ended, c.result = true, e.Result
 	r.out--
 	if away := f.picker.Ended(now, c.upstream.ID, e); away > 0 {
-		out = append(out, leftAlone(r, c, e.Result, away))
+		out = append(out, leftAlone("upstream", string(c.upstream.ID), e.Result.String(), r, away))
 	}
 	if c.paid && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
@@ -44,13 +44,13 @@
 	return f.proceed(now, r, out)
 }
 
-// leftAlone reports that an upstream gets no requests for a while.
-func leftAlone(r *request, c *call, result almondstep.CallResult, away time.Duration) *almondstep.Report {
+// leftAlone reports that an upstream or a delegate gets no requests for a while.
+func leftAlone(what, subject, cause string, r *request, away time.Duration) *almondstep.Report {
 	return &almondstep.Report{
 		Level:   almondstep.ReportInfo,
-		Message: "upstream left alone for " + away.String(),
-		Subject: string(c.upstream.ID),
-		Cause:   result.String() + " in request " + r.message.Key,
+		Message: what + " left alone for " + away.String(),
+		Subject: subject,
+		Cause:   cause + " in request " + r.message.Key,
 	}
 }
 
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"almondstep"
@@ -32,7 +33,7 @@
 	if r.own || len(r.route.Shards()) < leastDelegated || !r.route.Allows(f.region) {
 		return false
 	}
-	untried := func(id almondstep.DaemonID) bool { return !r.wasHandedTo(id) }
+	untried := func(id almondstep.DaemonID) bool { return !slices.Contains(r.handedTo, id) }
 	to, ok := f.mates.pick(now, r.directory.Delegates(), untried)
 	if !ok {
 		return false
@@ -69,15 +70,6 @@
 	return &route
 }
 
-func (r *request) wasHandedTo(id almondstep.DaemonID) bool {
-	for _, d := range r.handedTo {
-		if d == id {
-			return true
-		}
-	}
-	return false
-}
-
 // gatherEnded takes a delegate's answer. Where the request hasn't run it goes to
 // another one, and in the end to the shards themselves; where it may have run, its
 // caller is told so, since asking all shards twice would use up the retry budget.
@@ -90,7 +82,7 @@
 	r.handed = nil
 	r.out--
 	if away := f.mates.ended(now, to, e.Call, e.Reply != nil); away > 0 {
-		out = append(out, delegateLeft(r, to, e.Err, away))
+		out = append(out, leftAlone("delegate", string(to), e.Err, r, away))
 	}
 	notRun := e.NotRun || e.Reply != nil && e.Reply.Outcome == almondstep.OutcomeNotRun
 	switch {
@@ -120,17 +112,7 @@
 	r.handed = nil
 	r.out--
 	if away := f.mates.dropped(now, h.to, h.call); away > 0 {
-		out = append(out, delegateLeft(r, h.to, "no answer", away))
+		out = append(out, leftAlone("delegate", string(h.to), "no answer", r, away))
 	}
 	return append(out, &almondstep.CancelCall{ID: r.id, Call: h.call})
 }
-
-// delegateLeft reports that a delegate gets no requests for a while.
-func delegateLeft(r *request, to almondstep.DaemonID, cause string, away time.Duration) *almondstep.Report {
-	return &almondstep.Report{
-		Level:   almondstep.ReportInfo,
-		Message: "delegate left alone for " + away.String(),
-		Subject: string(to),
-		Cause:   cause + " in request " + r.message.Key,
-	}
-}
--- a/watcher/news.go
+++ b/watcher/news.go
@@ -22,6 +22,11 @@
 
 // tell answers one daemon.
 func (w *Watcher) tell(now almondstep.Instant, a asker, out []almondstep.Effect) []almondstep.Effect {
+	return append(out, &almondstep.ReplyNews{Call: a.call, News: w.newsSince(now, a.after)})
+}
+
+// newsSince is what this daemon knows beyond a revision.
+func (w *Watcher) newsSince(now almondstep.Instant, after uint64) almondstep.RegistryNews {
 	news := almondstep.RegistryNews{
 		Revision: w.revision,
 		Lost:     w.failed,
@@ -32,16 +37,23 @@
 	if w.failedAt != 0 {
 		news.LostAgo = now.Sub(w.failedAt)
 	}
-	if w.revision > a.after {
-		news.Entries, news.Whole = w.journal.since(a.after)
+	if w.revision > after {
+		news.Entries, news.Whole = w.journal.since(after)
 	}
-	return append(out, &almondstep.ReplyNews{Call: a.call, News: news})
+	return news
 }
 
-// tellAll answers all that wait.
+// tellAll answers all that wait. Nearly all of a zone know the same revision, so
+// that their news is the same.
 func (w *Watcher) tellAll(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	known := make(map[uint64]almondstep.RegistryNews)
 	for _, a := range w.askers {
-		out = w.tell(now, a, out)
+		news, ok := known[a.after]
+		if !ok {
+			news = w.newsSince(now, a.after)
+			known[a.after] = news
+		}
+		out = append(out, &almondstep.ReplyNews{Call: a.call, News: news})
 	}
 	w.askers = w.askers[:0]
 	return out
