Bound what peers may send, and tell servers what is left when a call is written

Bytes without end. Cause: http.ReadResponse bounds no head, interim answers were read for the whole of a call, a body held up to 8 MB in each of a daemon's calls, and the generated clients between daemons read bodies of any length. Closed at once, spoiled, logged; a part keeps only the records that can be in the answer. Answers between daemons 16 MB, heads 64 KB everywhere. Not counted: whole answers that wait for a slow client.

Cause: the time that a server is told was reckoned when the call was decided; then it waited for one of the few connections, 280 ms to the first one and 500 ms more than the client had in the broken case. The time a request waited for its thread, and its body took to come, wasn't counted either, nor the wait of a request handed to another daemon. Now reckoned when written; a hand-over that has no connection after 200 ms certainly hasn't run and goes on.

--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -25,6 +25,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"almondstep"
+	"almondstep/merger"
 )
 
 const (
@@ -33,8 +34,12 @@
 	// DefaultIdleTimeout is how long a connection is kept unused where the
 	// upstream states no time of its own.
 	DefaultIdleTimeout = 4 * time.Second
-	// DefaultMaxAnswerBytes bounds an answer.
+	// DefaultMaxAnswerBytes bounds an answer, and DefaultMaxPartBytes one of which
+	// only the greatest records are wanted.
 	DefaultMaxAnswerBytes = 8 << 20
+	DefaultMaxPartBytes   = 1 << 20
+	// DefaultMaxHeldBytes bounds all answers that are being read.
+	DefaultMaxHeldBytes = 32 << 20
 	// evictAfter is how long an unused upstream's pool is kept.
 	evictAfter = time.Minute
 )
@@ -43,17 +48,21 @@
 type Client struct {
 	// Dialect writes and reads the upstreams' own header fields.
 	Dialect almondstep.Dialect
-	// DialTimeout, IdleTimeout and MaxAnswerBytes are defaults where 0.
+	// DialTimeout, IdleTimeout and the bounds in bytes are defaults where 0.
 	DialTimeout    time.Duration
 	IdleTimeout    time.Duration
 	MaxAnswerBytes int64
-	// Logger gets the connections found silent; nil logs nothing.
+	MaxPartBytes   int64
+	MaxHeldBytes   int64
+	// Logger gets the connections found silent and the answers that were none; nil
+	// logs nothing.
 	Logger hclog.Logger
 
 	once  sync.Once
 	mu    sync.Mutex
 	pools map[poolKey]*pool
 	swept time.Time
+	held  memory
 }
 
 var _ almondstep.Exchanger = (*Client)(nil)
@@ -75,6 +84,13 @@
 		if c.MaxAnswerBytes == 0 {
 			c.MaxAnswerBytes = DefaultMaxAnswerBytes
 		}
+		if c.MaxPartBytes == 0 {
+			c.MaxPartBytes = DefaultMaxPartBytes
+		}
+		if c.MaxHeldBytes == 0 {
+			c.MaxHeldBytes = DefaultMaxHeldBytes
+		}
+		c.held.left = c.MaxHeldBytes
 		if c.Logger == nil {
 			c.Logger = hclog.NewNullLogger()
 		}
@@ -102,8 +118,8 @@
 		ended.Result = almondstep.CallRefused
 		return
 	}
-	waiting := cn.begin(call.Request.Method)
-	if n, err := cn.send(ctx, encode(call, c.Dialect.Fields(call))); err != nil {
+	waiting := cn.begin(call.Request.Method, c.limit(call))
+	if n, err := cn.send(ctx, encode(call, c.Dialect.Fields(call, stillWanted(ctx, call)))); err != nil {
 		p.drop(cn)
 		ended.Result = failure(ctx, n > 0)
 		return
@@ -117,6 +133,29 @@
 	}
 }
 
+// limit bounds the body of a call's answer, in bytes.
+func (c *Client) limit(call *almondstep.SendCall) int64 {
+	if call.Records > 0 {
+		return c.MaxPartBytes
+	}
+	return c.MaxAnswerBytes
+}
+
+// stillWanted is how long the answer is still wanted now that a connection is
+// there: what the call has waited for one is over. An answer that comes too late
+// for its first purpose is wanted until the call is given up.
+func stillWanted(ctx context.Context, call *almondstep.SendCall) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return call.Wanted
+	}
+	left := time.Until(deadline)
+	if wanted := call.Wanted - (call.Timeout - left); wanted > 0 {
+		return min(wanted, left)
+	}
+	return left
+}
+
 // took judges an answer, or the lack of one.
 func (c *Client) took(p *pool, cn *conn, call *almondstep.SendCall, got received, ended *almondstep.CallEnded) {
 	if got.err != nil {
@@ -124,13 +163,18 @@
 		ended.Result = almondstep.CallBroken
 		if errors.Is(got.err, errMalformed) {
 			ended.Result = almondstep.CallSpoiled
+			c.Logger.Info("bytes that are no answer", "upstream", call.Upstream.ID, "addr", call.Upstream.Addr,
+				"request", call.Request.Key, "err", got.err)
 		}
 		return
 	}
 	ended.Response = got.response
 	c.Dialect.Judge(call, got.response, ended)
-	if ended.Result == almondstep.CallSpoiled {
+	switch {
+	case ended.Result == almondstep.CallSpoiled:
 		ended.Response = nil
+	case ended.Result == almondstep.CallDone && call.Records > 0:
+		trim(got.response, call.Records)
 	}
 	if !got.reusable || ended.Result == almondstep.CallSpoiled || ended.Result == almondstep.CallMisdirected {
 		p.drop(cn)
@@ -139,6 +183,15 @@
 	p.put(cn)
 }
 
+// trim keeps only the records of a part that can be in an answer. A part not much
+// longer than that is left to the merger.
+func trim(part *almondstep.ResponseMessage, records int) {
+	const muchLonger = 4
+	if len(part.Body) > muchLonger*records*merger.RecordBytes {
+		part.Body = merger.Greatest(records, part.Body)
+	}
+}
+
 // failure says how a call without an answer ended, when some of it was sent.
 func failure(ctx context.Context, sent bool) almondstep.CallResult {
 	switch {
--- a/exchanger/client_test.go
+++ b/exchanger/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,8 +20,8 @@
 // dialect takes every 200 with the request's key as done.
 type dialect struct{}
 
-func (dialect) Fields(*almondstep.SendCall) almondstep.Header {
-	return almondstep.Header{{Name: "Own", Value: "1"}}
+func (dialect) Fields(_ *almondstep.SendCall, wanted time.Duration) almondstep.Header {
+	return almondstep.Header{{Name: "Own", Value: "1"}, {Name: "Wanted", Value: fmt.Sprint(wanted.Milliseconds())}}
 }
 
 func (dialect) Judge(c *almondstep.SendCall, r *almondstep.ResponseMessage, into *almondstep.CallEnded) {
@@ -43,6 +44,14 @@
 // serve answers each request with the bytes that answer gives; no bytes close
 // the connection.
 func serve(t *testing.T, answer func(n int, key string) string) *upstream {
+	t.Helper()
+	n := atomic.Int32{}
+	return serveRequests(t, func(r *http.Request) string { return answer(int(n.Add(1)), r.Header.Get("Key")) })
+}
+
+// serveRequests answers each request with the bytes that answer gives; no bytes
+// close the connection.
+func serveRequests(t *testing.T, answer func(r *http.Request) string) *upstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +73,7 @@
 	return u
 }
 
-func (u *upstream) talk(c net.Conn, answer func(int, string) string) {
+func (u *upstream) talk(c net.Conn, answer func(*http.Request) string) {
 	defer func() {
 		_ = c.Close()
 		u.closed <- struct{}{}
@@ -76,7 +85,8 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		text := answer(int(u.requests.Add(1)), req.Header.Get("Key"))
+		u.requests.Add(1)
+		text := answer(req)
 		if text == "" {
 			return
 		}
@@ -112,6 +122,15 @@
 	}
 }
 
+func atoi(t *testing.T, text string) int64 {
+	t.Helper()
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func exchange(t *testing.T, c *exchanger.Client, call *almondstep.SendCall) *almondstep.CallEnded {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,6 +25,7 @@
 	net.Conn
 	client *Client
 	reader *bufio.Reader
+	limit  *limiter
 	// used says that a call before this one was answered on the connection.
 	used  bool
 	began time.Time
@@ -41,7 +41,9 @@
 // pending is the call whose answer comes next.
 type pending struct {
 	method string
-	done   chan received
+	// limit bounds the body of the answer, in bytes.
+	limit int64
+	done  chan received
 }
 
 // received is an answer, or why there is none.
@@ -52,7 +54,8 @@
 }
 
 func newConn(raw net.Conn, c *Client) *conn {
-	cn := &conn{Conn: raw, client: c, reader: bufio.NewReader(raw)}
+	limit := &limiter{from: raw, left: maxHeadBytes}
+	cn := &conn{Conn: raw, client: c, reader: bufio.NewReader(limit), limit: limit}
 	cn.heard.Store(time.Now().UnixNano())
 	cn.idleFor.Store(int64(c.IdleTimeout))
 	go cn.read()
@@ -72,10 +75,10 @@
 }
 
 // begin expects the answer to a call.
-func (cn *conn) begin(method string) <-chan received {
+func (cn *conn) begin(method string, limit int64) <-chan received {
 	cn.used = !cn.began.IsZero()
 	cn.began = time.Now()
-	w := &pending{method: method, done: make(chan received, 1)}
+	w := &pending{method: method, limit: limit, done: make(chan received, 1)}
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.pending = w
@@ -108,7 +111,7 @@
 			return
 		}
 		cn.heard.Store(time.Now().UnixNano())
-		got := cn.answer(w.method)
+		got := cn.answer(w)
 		cn.heard.Store(time.Now().UnixNano())
 		w.done <- got
 		if got.err != nil || !got.reusable {
@@ -117,32 +120,34 @@
 	}
 }
 
-// answer reads one whole answer.
-func (cn *conn) answer(method string) received {
-	resp, err := cn.head(method)
+// answer reads one whole answer. Of bytes without end no more is read than an
+// answer may have.
+func (cn *conn) answer(w *pending) received {
+	resp, err := cn.finalHead(w.method)
 	if err != nil {
 		return received{err: errors.Mark(err, errMalformed)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	limit := cn.client.MaxAnswerBytes
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	cn.limit.left = maxHeadBytes
+	whole, err := cn.client.held.readBody(body{Reader: resp.Body, limit: cn.limit}, resp.ContentLength, w.limit)
+	// The next answer's head may come at any time.
+	cn.limit.left = maxHeadBytes
 	if err != nil {
+		if !cn.limit.broken {
+			err = errors.Mark(err, errMalformed)
+		}
 		return received{err: err}
 	}
-	if int64(len(body)) > limit {
-		cn.close()
-		return received{err: errors.Mark(errors.New("the answer is too long"), errMalformed)}
-	}
 	cn.keepAlive(resp.Header.Get("Keep-Alive"))
 	return received{
-		response: &almondstep.ResponseMessage{Status: resp.StatusCode, Header: fields(resp.Header), Body: body},
+		response: &almondstep.ResponseMessage{Status: resp.StatusCode, Header: fields(resp.Header), Body: whole},
 		reusable: !resp.Close && cn.reader.Buffered() == 0,
 	}
 }
 
-// head reads the head of the final answer; interim ones are skipped.
-func (cn *conn) head(method string) (*http.Response, error) {
-	for {
+// finalHead reads the head of the final answer; interim ones are skipped.
+func (cn *conn) finalHead(method string) (*http.Response, error) {
+	for range maxInterim + 1 {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -151,6 +156,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errors.New("too many interim answers")
 }
 
 // idleMargin is how much sooner than the upstream this side stops using an idle
--- /dev/null
+++ b/exchanger/endless_test.go
@@ -0,0 +1,207 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/exchanger"
+)
+
+// endless answers each request with a start and then the same bytes without end,
+// until the caller closes. It counts what it could send.
+type endless struct {
+	addr   almondstep.Address
+	closed chan int64
+}
+
+func serveEndless(t *testing.T, start, rest string) *endless {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &endless{addr: almondstep.Address(l.Addr().String()), closed: make(chan int64, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.talk(c, start, rest)
+		}
+	}()
+	return u
+}
+
+func (u *endless) talk(c net.Conn, start, rest string) {
+	defer func() { _ = c.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	sent, _ := io.WriteString(c, strings.ReplaceAll(start, "KEY", req.Header.Get("Key")))
+	total := int64(sent)
+	for {
+		n, err := io.WriteString(c, rest)
+		total += int64(n)
+		if err != nil {
+			u.closed <- total
+			return
+		}
+	}
+}
+
+const chunked = "HTTP/1.1 200 OK\r\nKey: KEY\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Bytes without end are no answer. The connection is closed long before the call's
+// time is over, so that another upstream can still be asked, and no more is read
+// than an answer may have.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		// soon is far below the call's timeout.
+		soon    = 2 * time.Second
+		timeout = 20 * time.Second
+		// buffers is what the sockets of both sides take in besides.
+		buffers = 16 << 20
+	)
+	piece := strings.Repeat("x", 32<<10)
+	for name, text := range map[string][2]string{
+		"head lines":      {"HTTP/1.1 200 OK\r\n", "A: " + strings.Repeat("b", 100) + "\r\n"},
+		"one header line": {"HTTP/1.1 200 OK\r\nA: ", piece},
+		"a status line":   {"HTTP/1.1 200 ", piece},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		"chunks":          {chunked, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)},
+		"tiny chunks":     {chunked, strings.Repeat("1\r\nx\r\n", 1000)},
+		"a chunk's line":  {chunked, piece},
+		"trailers":        {chunked + "0\r\n", "A: " + strings.Repeat("b", 100) + "\r\n"},
+		"until it closes": {"HTTP/1.1 200 OK\r\nKey: KEY\r\n\r\n", piece},
+		"a long length":   {"HTTP/1.1 200 OK\r\nKey: KEY\r\nContent-Length: 9000000000000\r\n\r\n", piece},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := serveEndless(t, text[0], text[1])
+			cl := call(&upstream{addr: u.addr})
+			cl.Timeout = timeout
+			began := time.Now()
+			e := exchange(t, client(t), cl)
+			if got, want := e.Result, almondstep.CallSpoiled; got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+			if took := time.Since(began); took > soon {
+				t.Errorf("got the end after %v, want it within %v", took, soon)
+			}
+			select {
+			case sent := <-u.closed:
+				if most := int64(exchanger.DefaultMaxAnswerBytes + buffers); sent > most {
+					t.Errorf("got %d bytes read, want at most %d", sent, most)
+				}
+			case <-time.After(soon):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
+
+// However many answers have no end, all together hold no more than the daemon's
+// bound, and a short answer among them is still read.
+func TestManyAnswersWithoutEndShareOneBound(t *testing.T) {
+	const (
+		calls = 60
+		held  = 4 << 20
+		// most leaves room for copies that wait for the garbage collector. Without a
+		// bound over all, these calls would hold 480 MB.
+		most = 64 << 20
+	)
+	piece := strings.Repeat("x", 32<<10)
+	u := serveEndless(t, chunked, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece))
+	short := serve(t, func(_ int, key string) string { return reply(key, "lots") })
+	c := client(t)
+	c.MaxHeldBytes = held
+	runtime.GC()
+	before := heap()
+	var under sync.WaitGroup
+	for range calls {
+		under.Go(func() {
+			cl := call(&upstream{addr: u.addr})
+			cl.Connections = calls
+			cl.Timeout = 20 * time.Second
+			if got, want := exchange(t, c, cl).Result, almondstep.CallSpoiled; got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+	for range 20 {
+		if got, want := exchange(t, c, call(short)).Result, almondstep.CallDone; got != want {
+			t.Errorf("a short answer: got %v, want %v", got, want)
+		}
+		if got := heap() - before; got > most {
+			t.Errorf("got %d bytes more in use, want at most %d", got, most)
+		}
+	}
+	under.Wait()
+	long := serve(t, func(_ int, key string) string { return reply(key, strings.Repeat("x", held/4)) })
+	if got, want := exchange(t, c, call(long)).Result, almondstep.CallDone; got != want {
+		t.Errorf("a long answer, later: got %v, want %v", got, want)
+	}
+}
+
+// heap is the memory in use by the process's objects, in bytes.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Of a part only the records are kept that can be in the answer.
+func TestPartIsTrimmed(t *testing.T) {
+	const records, wanted = 1000, 3
+	var body bytes.Buffer
+	for i := range records {
+		fmt.Fprintf(&body, "%016d", i)
+	}
+	u := serve(t, func(_ int, key string) string { return reply(key, body.String()) })
+	cl := call(u)
+	cl.Records = wanted
+	e := exchange(t, client(t), cl)
+	if got, want := string(e.Response.Body), "000000000000099900000000000009980000000000000997"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// What an upstream is told to be left is what is left when the call is sent, not
+// when it was decided: a call may wait for a connection.
+func TestTimeToldIsLeftWhenSent(t *testing.T) {
+	const hold = 300 * time.Millisecond
+	told := make(chan string, 2)
+	u := serveRequests(t, func(r *http.Request) string {
+		told <- r.Header.Get("Wanted")
+		time.Sleep(hold)
+		return reply(r.Header.Get("Key"), "x")
+	})
+	c := client(t)
+	var calls sync.WaitGroup
+	for range 2 {
+		calls.Go(func() {
+			cl := call(u)
+			cl.Connections = 1
+			cl.Wanted, cl.Timeout = 700*time.Millisecond, 900*time.Millisecond
+			exchange(t, c, cl)
+		})
+	}
+	calls.Wait()
+	<-told
+	if got, most := atoi(t, <-told), (700*time.Millisecond - hold).Milliseconds(); got > most {
+		t.Errorf("the second call: got %d ms told, want at most %d", got, most)
+	}
+}
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"time"
 
 	"almondstep"
@@ -25,7 +26,10 @@
 	if r == nil {
 		return append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
 	}
-	r.setTimes(now, e.Remaining)
+	r.setTimes(cmp.Or(e.At, now), e.Remaining)
+	if now >= r.deadline {
+		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
+	}
 	if f.handOver(now, r, &out) {
 		f.requests[r.id] = r
 		return r.arm(now, out)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -322,3 +322,31 @@
 		t.Errorf("got %d calls for %d requests, want no further ones", got, want)
 	}
 }
+
+// The time that a request has waited for its thread is over: upstreams aren't told
+// more than what is left, and a request whose time is over isn't sent at all.
+func TestWaitBeforeTheThreadCounts(t *testing.T) {
+	const waited = 300 * time.Millisecond
+	ask := func(w *world, id almondstep.QueryID, remaining time.Duration) {
+		w.now = w.now.Add(time.Second)
+		w.reduce(&almondstep.RequestArrived{
+			ID: id, At: w.now.Add(-waited), Remaining: remaining,
+			Request: &almondstep.RequestMessage{Key: "k", Method: "GET", Target: "/one/x", Path: "/one/x", Host: "lots.example"},
+		})
+	}
+	w := newWorld(t, bounds(), directory(t, 4, nil))
+	ask(w, 1, 800*time.Millisecond)
+	if got, want := len(w.order), 1; got != want {
+		t.Fatalf("got %d calls, want %d", got, want)
+	}
+	if got, most := w.order[0].Wanted, 500*time.Millisecond; got > most {
+		t.Errorf("got %v wanted, want at most %v", got, most)
+	}
+	ask(w, 2, 200*time.Millisecond)
+	if got, want := len(w.order), 1; got != want {
+		t.Errorf("got %d calls, want %d: the time was over", got, want)
+	}
+	if r := w.replies[2]; r == nil || r.Outcome != almondstep.OutcomeNotRun {
+		t.Errorf("got reply %+v, want it not run", r)
+	}
+}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -40,6 +40,7 @@
 		Request:     r.message,
 		Timeout:     r.deadline.Sub(now),
 		Wanted:      r.wanted(now),
+		Records:     r.records(),
 		Connections: f.connections(r, s.service),
 		Unused:      !r.route.Idempotent(),
 	})
@@ -56,6 +57,14 @@
 	return r.deadline.Sub(now)
 }
 
+// records is how many of a part's records can be in the answer; 0 means all.
+func (r *request) records() int {
+	if !r.gathers() {
+		return 0
+	}
+	return r.route.Records()
+}
+
 // choose picks the upstream for a shard's next call. One that is cold is used
 // only within its rate.
 func (f *Forwarder) choose(now almondstep.Instant, r *request, s *shard) (*almondstep.Upstream, bool) {
--- a/message_request.go
+++ b/message_request.go
@@ -64,6 +64,8 @@
 	Request *RequestMessage `json:"request"`
 	// Remaining is how long the caller waits; 0 if it didn't say.
 	Remaining time.Duration `json:"remaining"`
+	// At is when the daemon had the request; 0 means now.
+	At Instant `json:"at,omitempty"`
 	// Route is set where another daemon has matched the request and hands it over;
 	// Version is that of its routes.
 	Route   *Route       `json:"-"`
@@ -89,9 +91,12 @@
 	Request  *RequestMessage `json:"request"`
 	// Timeout is when the call is given up.
 	Timeout time.Duration `json:"timeout"`
-	// Wanted is how long the upstream is told that its answer is wanted, at most
-	// Timeout.
+	// Wanted is how long its answer is wanted, at most Timeout. The upstream is told
+	// what is left of it when the call is sent.
 	Wanted time.Duration `json:"wanted"`
+	// Records is the number of greatest records that are wanted of the answer; 0
+	// means all of it.
+	Records int `json:"records,omitempty"`
 	// Connections is the number of connections this daemon may have open to the
 	// upstream.
 	Connections int `json:"connections"`
--- a/messenger/delegate.go
+++ b/messenger/delegate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,13 +13,53 @@
 	"almondstep/messenger/peerpb"
 )
 
-// Gather hands a request over shards to another daemon.
+// connectWait bounds the wait for a connection over which a request is handed
+// over. The time that the request says is left was right before that wait.
+const connectWait = 200 * time.Millisecond
+
+// Gather hands a request over shards to another daemon. The error is ErrNotRun if
+// nothing was sent.
 func (c *Client) Gather(ctx context.Context, to almondstep.Address, ask *almondstep.GatherAsked) (*almondstep.Reply, error) {
-	r, err := call(ctx, c.peer(to), (*clients).Gather, encodeGather(ask))
-	if err != nil {
+	ctx, connected, cancel := connectWithin(ctx, connectWait)
+	defer cancel()
+	r, err := call(ctx, c.peer(to), (*clients).Gather, encodeGather(ask, remaining(ctx, ask)))
+	switch {
+	case err == nil:
+		return decodeGathered(r)
+	case !connected():
+		return nil, errors.Mark(err, almondstep.ErrNotRun)
+	default:
 		return nil, classify(err)
 	}
-	return decodeGathered(r)
+}
+
+// remaining is how much of a request's time is left now: it may have waited since
+// it was handed over.
+func remaining(ctx context.Context, ask *almondstep.GatherAsked) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return ask.Remaining
+	}
+	return max(time.Millisecond, min(ask.Remaining, time.Until(deadline)))
+}
+
+// connectWithin cancels a call that has no connection after a time. The call hasn't
+// been sent, not even in part, as long as connected says no.
+func connectWithin(ctx context.Context, wait time.Duration) (_ context.Context, connected func() bool, cancel func()) {
+	ctx, stop := context.WithCancel(ctx)
+	var has atomic.Bool
+	timer := time.AfterFunc(wait, func() {
+		if !has.Load() {
+			stop()
+		}
+	})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { has.Store(true) },
+	})
+	return ctx, has.Load, func() {
+		timer.Stop()
+		stop()
+	}
 }
 
 // gatherHandler is the generated interface over a GatherServer.
@@ -38,7 +80,7 @@
 	return encodeGathered(reply)
 }
 
-func encodeGather(ask *almondstep.GatherAsked) *peerpb.GatherRequest {
+func encodeGather(ask *almondstep.GatherAsked, remaining time.Duration) *peerpb.GatherRequest {
 	m, p := ask.Request, ask.Route.Parts()
 	r := &peerpb.GatherRequest{
 		Key:       m.Key,
@@ -48,7 +90,7 @@
 		Host:      m.Host,
 		Header:    make([]*peerpb.HeaderField, len(m.Header)),
 		Body:      m.Body,
-		Remaining: int64(ask.Remaining),
+		Remaining: int64(remaining),
 		Route: &peerpb.GatherRoute{
 			Name:          string(p.Name),
 			Host:          p.Host,
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"reflect"
+	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -272,13 +275,7 @@
 	s.Init()
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
-	parts := *filled[almondstep.RouteParts]()
-	parts.Host, parts.Prefix, parts.Targets, parts.LeastCoverage = "lots.example", "/lots/", nil, 0.5
-	route, err := almondstep.NewRoute(parts)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ask := &almondstep.GatherAsked{Request: filled[almondstep.RequestMessage](), Route: &route, Version: 7, Remaining: time.Second}
+	ask := handedOver(t)
 	c := &messenger.Client{}
 	addr := almondstep.Address(l.Addr().String())
 	got, err := c.Gather(t.Context(), addr, ask)
@@ -298,3 +295,118 @@
 		t.Errorf("got %v of a daemon that refuses, want ErrNotRun", err)
 	}
 }
+
+func handedOver(t *testing.T) *almondstep.GatherAsked {
+	t.Helper()
+	parts := *filled[almondstep.RouteParts]()
+	parts.Host, parts.Prefix, parts.Targets, parts.LeastCoverage = "lots.example", "/lots/", nil, 0.5
+	route, err := almondstep.NewRoute(parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &almondstep.GatherAsked{Request: filled[almondstep.RequestMessage](), Route: &route, Version: 7, Remaining: time.Second}
+}
+
+// A request for which no connection comes isn't held up by that, and certainly
+// hasn't run.
+func TestHandOverWithoutConnection(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := (&messenger.Client{}).Gather(ctx, fullListener(t), handedOver(t))
+	if !errors.Is(err, almondstep.ErrNotRun) {
+		t.Errorf("got %v, want ErrNotRun", err)
+	}
+	if took, most := time.Since(began), 800*time.Millisecond; took > most {
+		t.Errorf("got the end after %v, want it within %v", took, most)
+	}
+}
+
+// fullListener gives an address at which further connections hang.
+func fullListener(t *testing.T) almondstep.Address {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+	for {
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return almondstep.Address(addr)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// A delegate that takes its time is waited for. One whose answer is lost may have
+// run the request.
+func TestHandOverIsWaitedFor(t *testing.T) {
+	for name, lose := range map[string]bool{"answered": false, "lost": true} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &messenger.Server{Gatherer: slowDelegate{lose: lose}}
+			s.Init()
+			go s.Serve(l)
+			t.Cleanup(func() { s.Close() })
+			_, err = (&messenger.Client{}).Gather(t.Context(), almondstep.Address(l.Addr().String()), handedOver(t))
+			if lose && (err == nil || errors.Is(err, almondstep.ErrNotRun)) {
+				t.Errorf("got %v, want an error that promises nothing", err)
+			}
+			if !lose && err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// slowDelegate takes longer than a connection may, and may break its answer off.
+type slowDelegate struct{ lose bool }
+
+func (d slowDelegate) Gather(context.Context, *almondstep.GatherAsked) (*almondstep.Reply, error) {
+	time.Sleep(400 * time.Millisecond)
+	if d.lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply := filled[almondstep.Reply]()
+	reply.Response = nil
+	return reply, nil
+}
+
+// What a delegate is told to be left is what is left when the request is sent.
+func TestHandOverTellsWhatIsLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &delegate{}
+	s := &messenger.Server{Gatherer: d}
+	s.Init()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	ask := handedOver(t)
+	ctx, cancel := context.WithTimeout(t.Context(), ask.Remaining)
+	defer cancel()
+	const waited = 300 * time.Millisecond
+	time.Sleep(waited)
+	if _, err := (&messenger.Client{}).Gather(ctx, almondstep.Address(l.Addr().String()), ask); err != nil {
+		t.Fatal(err)
+	}
+	if got, most := d.asked.Remaining, ask.Remaining-waited; got > most {
+		t.Errorf("got %v told, want at most %v", got, most)
+	}
+}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -47,7 +47,7 @@
 	defer p.mu.Unlock()
 	if p.client == nil {
 		p.conns = transport(p.tls)
-		c := &http.Client{Transport: p.conns}
+		c := &http.Client{Transport: bounded{p.conns}}
 		p.client = &clients{
 			Peer: peerpb.NewPeerProtobufClient(p.base(), c),
 			News: peerpb.NewNewsProtobufClient(p.base(), c),
@@ -119,5 +119,22 @@
 		TLSClientConfig: cfg,
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+}
+
+// bounded bounds the bodies of answers, which the generated clients read whole.
+type bounded struct {
+	*http.Transport
+}
+
+// RoundTrip makes one call.
+func (b bounded) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := b.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
 	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)
+	return resp, nil
 }
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -24,6 +24,10 @@
 	headerTimeout = 5 * time.Second
 	// maxMessageBytes bounds one message: a full configuration text of 1 MB and room.
 	maxMessageBytes = 2 << 20
+	// maxAnswerBytes bounds an answer: all of the registry at the largest size.
+	maxAnswerBytes = 16 << 20
+	// maxHeadBytes bounds the head of a message or an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Server answers the messages of other daemons through a PeerServer.
@@ -78,6 +82,7 @@
 		Handler:           http.MaxBytesHandler(services, maxMessageBytes),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
 		ErrorLog:          s.ErrorLog,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
--- a/outside.go
+++ b/outside.go
@@ -86,8 +86,8 @@
 
 // Dialect knows the header fields in which upstreams of some protocol speak.
 type Dialect interface {
-	// Fields gives the header of a call.
-	Fields(c *SendCall) Header
+	// Fields gives the header of a call whose answer is wanted for so long.
+	Fields(c *SendCall, wanted time.Duration) Header
 	// Judge fills in the result and what else the answer says, from the whole
 	// answer to the call.
 	Judge(c *SendCall, r *ResponseMessage, into *CallEnded)
--- a/runner/requests.go
+++ b/runner/requests.go
@@ -18,6 +18,7 @@
 }
 
 func (r *Runner) forward(ctx context.Context, e *almondstep.RequestArrived) *almondstep.Reply {
+	e.At = r.now()
 	t := r.queryThread(e.ID)
 	reply := make(chan *almondstep.Reply, 1)
 	t.waitersMu.Lock()
--- a/storer/exchange.go
+++ b/storer/exchange.go
@@ -19,6 +19,8 @@
 	revisionHeader = "Almondstep-Revision"
 	// maxAnswerBytes bounds an answer. The list of VMs is the largest.
 	maxAnswerBytes = 8 << 20
+	// maxHeadBytes bounds the head of an answer, with interim ones before it.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is one call before it is sent.
@@ -46,6 +48,8 @@
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
