News through a tree of daemons, with the age of the registry's word

Now each answer carries the age of the registry's own word, each confirmation passes through the tree once a beat (a quarter of the tightest of config-apply, drain, evac), and a daemon whose word is late asks others of all zones, one in order and two at random, until one knows more. Whatever is newer is taken, whoever tells it. A lapsed lease removes nobody from those who can be asked for 30 s. Where more waits, it is read at once. A route that isn't known is a 503 where the knowledge is old. At the start the daemons are listed (a stale read, a tenth of the price), two of a zone read the registry and the others ask them; seeds are asked where the registry gives no answer.

--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -34,10 +34,10 @@
 	// DefaultIdleTimeout is how long a connection is kept unused where the
 	// upstream states no time of its own.
 	DefaultIdleTimeout = 4 * time.Second
-	// DefaultMaxAnswerBytes bounds an answer, and DefaultMaxPartBytes one of which
-	// only the greatest records are wanted.
+	// DefaultMaxAnswerBytes bounds an answer.
 	DefaultMaxAnswerBytes = 8 << 20
-	DefaultMaxPartBytes   = 1 << 20
+	// DefaultMaxPartBytes bounds one of which only the greatest records are wanted.
+	DefaultMaxPartBytes = 1 << 20
 	// DefaultMaxHeldBytes bounds all answers that are being read.
 	DefaultMaxHeldBytes = 32 << 20
 	// evictAfter is how long an unused upstream's pool is kept.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -33,8 +33,10 @@
 	calls    map[almondstep.CallID]callRef
 	splits   map[almondstep.RouteName]*split
 	mates    mates
-	region   almondstep.RegionName
-	lastCall almondstep.CallID
+	// directory is the one that picker and mates know.
+	directory *almondstep.Directory
+	region    almondstep.RegionName
+	lastCall  almondstep.CallID
 }
 
 // callRef finds a call's place in its request.
@@ -70,7 +72,8 @@
 	case *almondstep.RequesterGone:
 		return f.requesterGone(now, e.ID, out)
 	case *almondstep.ViewChanged:
-		if d := v.Directory(); d != nil {
+		if d := v.Directory(); d != nil && d != f.directory {
+			f.directory = d
 			f.picker.Keep(d)
 			f.mates.keep(d.Delegates())
 		}
--- a/message_registry.go
+++ b/message_registry.go
@@ -14,6 +14,8 @@
 	// Entries are the same changes as they stand in the registry, to be passed on
 	// to other daemons.
 	Entries []RegistryEntry `json:"entries,omitempty"`
+	// More says that further changes wait beyond the revision.
+	More bool `json:"more,omitempty"`
 }
 
 // RegistryEntry is one entry of the registry in the registry's own form.
@@ -32,13 +34,11 @@
 	// Whole says that Entries is everything, not what has changed.
 	Whole   bool            `json:"whole,omitempty"`
 	Entries []RegistryEntry `json:"entries,omitempty"`
-	// Lost says that the teller's own last reading failed.
-	Lost bool `json:"lost,omitempty"`
 	// Source is the daemon that the teller itself asks; empty if it reads the
 	// registry.
 	Source DaemonID `json:"source,omitempty"`
 	// Age is how long ago the registry itself was last heard, through all daemons
-	// that the news has passed.
+	// that the news has passed; AgeUnknown if never.
 	Age time.Duration `json:"age"`
 	// LostAgo is how long ago an outage of the registry last ended or was noticed,
 	// as far as the teller knows; AgeUnknown if there was none.
@@ -63,6 +63,8 @@
 type ZoneChange struct {
 	Zone ZoneName `json:"zone"`
 	Out  bool     `json:"out"`
+	// Revision is that of the change.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // DaemonChange says that a daemon has announced itself, or that its lease ended.
@@ -75,12 +77,17 @@
 	Addr Address  `json:"addr,omitempty"`
 	// Cores is the processor time that its VM has, in cores; 0 if it isn't known.
 	Cores float64 `json:"cores,omitempty"`
+	// Revision is that of the change.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // RegistryRead brings the outcome of a ReadRegistry.
 type RegistryRead struct {
 	// From is the daemon that was asked; empty if the registry itself was.
-	From    DaemonID         `json:"from,omitempty"`
+	From DaemonID `json:"from,omitempty"`
+	// Daemons says that only the daemons were listed, perhaps as they stood a moment
+	// ago.
+	Daemons bool             `json:"daemons,omitempty"`
 	Changes *RegistryChanges `json:"changes,omitempty"`
 	// Whole says that Changes is everything, not what has changed.
 	Whole bool `json:"whole"`
@@ -121,6 +128,8 @@
 	// itself.
 	From DaemonID `json:"from,omitempty"`
 	Addr Address  `json:"addr,omitempty"`
+	// Daemons asks the registry for a list of the daemons alone.
+	Daemons bool `json:"daemons,omitempty"`
 }
 
 // AnnounceDaemon asks to keep this daemon's lease in the registry.
--- a/outside.go
+++ b/outside.go
@@ -43,6 +43,8 @@
 type Registry interface {
 	// ReadAll gives everything that is recorded.
 	ReadAll(ctx context.Context) (*RegistryChanges, error)
+	// ReadDaemons lists the daemons alone, perhaps as they stood a moment ago.
+	ReadDaemons(ctx context.Context) (*RegistryChanges, error)
 	// Watch waits, at most wait, for changes after a revision. It returns ErrStale
 	// if the history since then is gone.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*RegistryChanges, error)
--- a/runner/registry.go
+++ b/runner/registry.go
@@ -16,11 +16,13 @@
 // readRegistry reads all of the registry or waits for what changes in it, at the
 // registry itself or through another daemon.
 func (r *Runner) readRegistry(ctx context.Context, f *almondstep.ReadRegistry) {
-	e := &almondstep.RegistryRead{From: f.From, Whole: f.After == 0}
+	e := &almondstep.RegistryRead{From: f.From, Daemons: f.Daemons, Whole: f.After == 0 && !f.Daemons}
 	var err error
 	switch {
 	case f.From != "":
 		err = r.readNews(ctx, f, e)
+	case f.Daemons:
+		e.Changes, err = r.Registry.ReadDaemons(ctx)
 	case e.Whole:
 		e.Changes, err = r.Registry.ReadAll(ctx)
 	default:
--- a/view.go
+++ b/view.go
@@ -16,6 +16,7 @@
 	peers       map[DaemonID]Address
 	stopping    bool
 	directory   *Directory
+	freshTo     Instant
 }
 
 // Placement says who serves the shards of one service at one version.
@@ -137,6 +138,9 @@
 	Stopping bool
 	// Directory has the routes and their upstreams; nil if the daemon serves none.
 	Directory *Directory
+	// FreshTo is until when the directory counts as all there is, unless a newer
+	// view says more; 0 sets no end.
+	FreshTo Instant
 }
 
 // NewView freezes the parts into a view. The caller must not change them after.
@@ -155,6 +159,7 @@
 		peers:       p.Peers,
 		stopping:    p.Stopping,
 		directory:   p.Directory,
+		freshTo:     p.FreshTo,
 	}
 }
 
@@ -218,5 +223,9 @@
 // Peers has the addresses of the other daemons. The caller must not change it.
 func (v *View) Peers() map[DaemonID]Address { return v.peers }
 
+// Fresh says that what the directory doesn't have isn't there. Else it may be there
+// since the directory was last confirmed.
+func (v *View) Fresh(now Instant) bool { return v.freshTo == 0 || now <= v.freshTo }
+
 // Directory has the routes and their upstreams; nil if the daemon serves none.
 func (v *View) Directory() *Directory { return v.directory }
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"almondstep"
 )
@@ -18,19 +19,13 @@
 	if e.Whole {
 		changed = w.dropUnlisted(now, c) || changed
 	}
-	for _, u := range c.Upstreams {
-		before := w.entries[u.Key]
-		if w.applyUpstream(now, u) {
-			changed = true
-			out = w.reportUpstream(u, before, e.Whole, out)
-		}
-	}
+	upstreams, out := w.applyUpstreams(now, e, out)
+	changed = upstreams || changed
 	for _, z := range c.ZonesOut {
-		if w.zonesOut[z.Zone] == z.Out {
+		if !w.applyZone(z) {
 			continue
 		}
 		changed = true
-		w.zonesOut[z.Zone] = z.Out
 		out = append(out, w.report("zone out changed", string(z.Zone), outWord(z.Out), c.Revision))
 	}
 	for _, d := range c.Daemons {
@@ -39,6 +34,42 @@
 	return changed || w.shared != w.sharing(), out
 }
 
+// reportedEntries is the number of changed upstreams of one reading that the log
+// names; more of them are counted.
+const reportedEntries = 12
+
+// applyUpstreams takes changes of upstreams in, and reports them unless all of the
+// registry was read.
+func (w *Watcher) applyUpstreams(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) (bool, []almondstep.Effect) {
+	var reports []almondstep.Effect
+	changed := false
+	for _, u := range e.Changes.Upstreams {
+		before := w.entries[u.Key]
+		if !w.applyUpstream(now, u) {
+			continue
+		}
+		changed = true
+		if !e.Whole {
+			reports = w.reportUpstream(u, before, reports)
+		}
+	}
+	if len(reports) > reportedEntries {
+		count := strconv.Itoa(len(reports)) + " entries"
+		return changed, append(out, w.report("many upstreams changed", string(w.cfg.Self), count, e.Changes.Revision))
+	}
+	return changed, append(out, reports...)
+}
+
+// applyZone takes in whether a zone is out, unless that is older than what is known.
+func (w *Watcher) applyZone(c almondstep.ZoneChange) bool {
+	held := w.zonesOut[c.Zone]
+	if c.Revision < held.revision {
+		return false
+	}
+	w.zonesOut[c.Zone] = zoneOut{out: c.Out, revision: c.Revision}
+	return held.out != c.Out
+}
+
 func outWord(out bool) string {
 	if out {
 		return "taken out"
@@ -46,12 +77,8 @@
 	return "back"
 }
 
-// reportUpstream says what an entry's change means for new requests. A whole
-// reading isn't reported entry by entry.
-func (w *Watcher) reportUpstream(c almondstep.UpstreamChange, before *entry, whole bool, out []almondstep.Effect) []almondstep.Effect {
-	if whole {
-		return out
-	}
+// reportUpstream says what an entry's change means for new requests.
+func (w *Watcher) reportUpstream(c almondstep.UpstreamChange, before *entry, out []almondstep.Effect) []almondstep.Effect {
 	u := c.Upstream
 	message := "upstream gets requests"
 	switch {
@@ -112,18 +139,19 @@
 		listed[u.Key] = true
 	}
 	changed := false
-	for key := range w.entries {
-		if !listed[key] {
+	for key, held := range w.entries {
+		if !listed[key] && held.revision <= c.Revision {
 			changed = w.remove(now, key) || changed
 		}
 	}
 	out := make(map[almondstep.ZoneName]bool, len(c.ZonesOut))
 	for _, z := range c.ZonesOut {
-		out[z.Zone] = z.Out
+		out[z.Zone] = true
 	}
-	for zone, was := range w.zonesOut {
-		changed = changed || was != out[zone]
-		w.zonesOut[zone] = out[zone]
+	for zone := range w.zonesOut {
+		if !out[zone] {
+			changed = w.applyZone(almondstep.ZoneChange{Zone: zone, Revision: c.Revision}) || changed
+		}
 	}
 	alive := make(map[almondstep.DaemonID]bool, len(c.Daemons))
 	for _, d := range c.Daemons {
@@ -131,14 +159,14 @@
 	}
 	for id := range w.daemons {
 		if !alive[id] {
-			changed = w.applyDaemon(now, almondstep.DaemonChange{Daemon: id}) || changed
+			changed = w.applyDaemon(now, almondstep.DaemonChange{Daemon: id, Revision: c.Revision}) || changed
 		}
 	}
 	return changed
 }
 
 // applyDaemon takes in that a daemon has come or gone, and says whether that
-// changes who can be asked.
+// changes who can be asked. Of one that is gone it stays known where it answered.
 func (w *Watcher) applyDaemon(now almondstep.Instant, c almondstep.DaemonChange) bool {
 	d, known := w.daemons[c.Daemon]
 	if !known {
@@ -148,15 +176,23 @@
 		d = &daemon{}
 		w.daemons[c.Daemon] = d
 	}
-	if d.alive && !c.Alive {
-		d.goneAt = now.Add(daemonHolds)
+	if c.Revision < d.revision {
+		return false
+	}
+	d.revision = c.Revision
+	if !c.Alive {
+		if d.alive {
+			d.alive, d.goneAt = false, now.Add(daemonHolds)
+		}
+		return false
 	}
 	was := *d
-	d.alive = c.Alive
-	d.zone = c.Zone
-	d.addr = c.Addr
-	d.cores = c.Cores
-	return *d != was
+	d.alive, d.zone, d.addr, d.cores = true, c.Zone, c.Addr, c.Cores
+	if known && was.zone == d.zone && was.addr == d.addr && was.cores == d.cores {
+		return false
+	}
+	w.orders = nil
+	return true
 }
 
 // expire drops the lapsed entries that have not come back, and says whether any
@@ -168,12 +204,14 @@
 		if held.goneAt != 0 && now >= held.goneAt {
 			delete(w.entries, key)
 			changed = true
-			out = w.reportUpstream(almondstep.UpstreamChange{Key: key, Revision: held.revision}, held, false, out)
+			out = w.reportUpstream(almondstep.UpstreamChange{Key: key, Revision: held.revision}, held, out)
 		}
 	}
 	for id, d := range w.daemons {
 		if !d.alive && now >= d.goneAt {
 			delete(w.daemons, id)
+			w.orders = nil
+			changed = true
 		}
 	}
 	return changed, out
@@ -189,22 +227,32 @@
 	upstreams := make(map[almondstep.ServiceName][]*almondstep.Upstream)
 	for _, key := range slices.Sorted(maps.Keys(w.entries)) {
 		u := w.entries[key].upstream
-		if !u.Leaving && !w.zonesOut[u.Zone] {
+		if !u.Leaving && !w.zonesOut[u.Zone].out {
 			upstreams[u.Service] = append(upstreams[u.Service], u)
 		}
 	}
+	w.directory = almondstep.NewDirectory(almondstep.DirectoryParts{
+		Routes:    w.routes,
+		Upstreams: upstreams,
+		Daemons:   w.shared,
+		Gatherers: gatherers,
+		Delegates: w.delegates(gatherers),
+	})
+	return w.publishAge(out)
+}
+
+// publishAge makes a view of the directory as it was, and of when it was confirmed.
+func (w *Watcher) publishAge(out []almondstep.Effect) []almondstep.Effect {
+	if w.directory == nil {
+		return out
+	}
 	parts := almondstep.ViewParts{
-		Self:     w.cfg.Self,
-		Zone:     w.cfg.Zone,
-		Unready:  w.unready(),
-		Stopping: w.stopping,
-		Directory: almondstep.NewDirectory(almondstep.DirectoryParts{
-			Routes:    w.routes,
-			Upstreams: upstreams,
-			Daemons:   w.shared,
-			Gatherers: gatherers,
-			Delegates: w.delegates(gatherers),
-		}),
+		Self:      w.cfg.Self,
+		Zone:      w.cfg.Zone,
+		Unready:   w.unready(),
+		Stopping:  w.stopping,
+		Directory: w.directory,
+		FreshTo:   max(1, w.confirmedAt.Add(w.cfg.Bound)),
 	}
 	if w.routes != nil {
 		parts.Revision = almondstep.Revision(w.routes.Version())
--- a/watcher/delegates.go
+++ b/watcher/delegates.go
@@ -1,11 +1,6 @@
 package watcher
 
-import (
-	"cmp"
-	"slices"
-
-	"almondstep"
-)
+import "almondstep"
 
 const (
 	// connectionsEach is the number of connections to each upstream that a daemon
@@ -58,16 +53,15 @@
 }
 
 // zoneBySize lists the daemons of the own zone that can be asked, and this one, the
-// largest first. Among those of one size the zone's order decides.
+// largest first.
 func (w *Watcher) zoneBySize() []almondstep.Delegate {
 	var zone []almondstep.Delegate
-	for _, id := range w.mates() {
-		d := almondstep.Delegate{ID: id, Cores: w.cfg.Cores}
+	for _, id := range w.order(w.cfg.Zone) {
+		d := almondstep.Delegate{ID: id, Cores: w.cores(id)}
 		if id != w.cfg.Self {
-			d.Addr, d.Cores = w.daemons[id].addr, w.daemons[id].cores
+			d.Addr = w.daemons[id].addr
 		}
 		zone = append(zone, d)
 	}
-	slices.SortStableFunc(zone, func(a, b almondstep.Delegate) int { return cmp.Compare(b.Cores, a.Cores) })
 	return zone
 }
--- a/watcher/doc.go
+++ b/watcher/doc.go
@@ -9,8 +9,16 @@
 //	watch fails ... watch answers: entry removed -> kept for LapseGrace
 //	watch answers: entry removed                 -> no new requests at once
 //
-// The daemons of a zone read for each other (source.go): one reads the registry,
-// the others ask it for news, and each can take over.
+// The daemons read for each other, in a tree (source.go): one or two read the
+// registry, the others ask their parents. What is told carries its age: how long
+// ago the registry itself confirmed it. Each confirmation passes through the tree
+// once a beat, so that a daemon notices by the age alone that its word is late,
+// whatever the reason, and asks others until one knows more (search.go):
 //
-// The version of the routes only rises. There is no clock and no I/O here.
+//	age <= 3/4 Bound            goes on reading from its source
+//	age >  3/4 Bound            asks other daemons of all zones as well
+//	age >  Bound                a route that isn't known may be there: not "no route"
+//
+// The version of the routes only rises, and so does the revision that is known.
+// There is no clock and no I/O here.
 package watcher
--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -34,14 +34,22 @@
 	log      []almondstep.RegistryEntry
 	watches  map[int]func()
 	calls    int
-	down     bool
+	// whole counts the readings of all among the calls.
+	whole int
+	down  bool
 	// cut has the daemons that can't reach the registry, deaf those that nobody
 	// reaches.
 	cut  map[almondstep.DaemonID]bool
 	deaf map[almondstep.DaemonID]bool
+	// seeds are addresses that all daemons are told.
+	seeds []almondstep.Address
+	// page is the most that one watch brings; 0 is all.
+	page int
 }
 
 type node struct {
+	// epoch tells the starts of a daemon apart.
+	epoch int
 	id    almondstep.DaemonID
 	w     *watcher.Watcher
 	view  *almondstep.View
@@ -86,16 +94,25 @@
 }
 
 func (f *fleet) start(id almondstep.DaemonID) {
-	n := &node{
-		id: id, w: watcher.New(watcher.Config{Self: id, Zone: "z"}),
-		open: map[almondstep.CallID]func(almondstep.RegistryNews){},
+	f.ids = append(f.ids, id)
+	f.restart(id)
+}
+
+// restart starts a daemon, or starts one anew that knows nothing then.
+func (f *fleet) restart(id almondstep.DaemonID) {
+	cfg := watcher.Config{Self: id, Zone: zoneOf(string(id)), Cores: coresOf(string(id)), Seeds: f.seeds}
+	n := &node{id: id, w: watcher.New(cfg), open: map[almondstep.CallID]func(almondstep.RegistryNews){}}
+	if former := f.nodes[id]; former != nil {
+		n.epoch = former.epoch + 1
 	}
 	f.nodes[id] = n
-	f.ids = append(f.ids, id)
 	f.tick(n)
 }
 
 func (f *fleet) tick(n *node) {
+	if f.nodes[n.id] != n {
+		return
+	}
 	f.deliver(n, &almondstep.ControlTick{})
 	f.after(almondstep.TickEvery, func() { f.tick(n) })
 }
@@ -116,6 +133,9 @@
 }
 
 func (f *fleet) deliver(n *node, e almondstep.Event) {
+	if f.nodes[n.id] != n {
+		return
+	}
 	for _, eff := range n.w.Reduce(almondstep.Instant(f.now+time.Second), e, nil) {
 		switch eff := eff.(type) {
 		case *almondstep.PublishView:
@@ -166,6 +186,13 @@
 		return
 	}
 	f.calls++
+	if r.Daemons {
+		f.list(n)
+		return
+	}
+	if r.After == 0 {
+		f.whole++
+	}
 	answer := func() {
 		f.after(way, func() {
 			if f.down || f.cut[n.id] {
@@ -190,6 +217,18 @@
 	})
 }
 
+// list answers with the daemons alone.
+func (f *fleet) list(n *node) {
+	f.after(way, func() {
+		if f.down || f.cut[n.id] {
+			f.deliver(n, &almondstep.RegistryRead{Daemons: true, Err: "no answer"})
+			return
+		}
+		all := f.since(0)
+		f.deliver(n, &almondstep.RegistryRead{Daemons: true, Changes: &almondstep.RegistryChanges{Revision: all.Revision, Daemons: all.Daemons}})
+	})
+}
+
 // since makes changes of what was written after a revision.
 func (f *fleet) since(after uint64) *almondstep.RegistryChanges {
 	entries := f.log
@@ -199,7 +238,31 @@
 			entries = append(entries, e)
 		}
 	}
-	return changesOf(f.t, f.revision, entries, after)
+	revision := f.revision
+	if f.page > 0 && after > 0 && revision > after+uint64(f.page) {
+		revision = after + uint64(f.page)
+		entries = slices.DeleteFunc(slices.Clone(entries), func(e almondstep.RegistryEntry) bool { return e.Revision > revision })
+	}
+	c := changesOf(f.t, revision, entries, after)
+	c.More = revision < f.revision
+	return c
+}
+
+// zoneOf is the zone of a daemon: what its id says before a dash, else z.
+func zoneOf(id string) almondstep.ZoneName {
+	zone, _, ok := strings.Cut(id, "-")
+	if !ok {
+		return "z"
+	}
+	return almondstep.ZoneName(zone)
+}
+
+// coresOf is the size of a daemon: L in its id marks a large one.
+func coresOf(id string) float64 {
+	if strings.Contains(id, "L") {
+		return 0.8
+	}
+	return 0.2
 }
 
 // changesOf decodes entries as a registry would: upstreams, daemons and routes.
@@ -209,10 +272,15 @@
 		if e.Revision <= after {
 			continue
 		}
+		if zone, ok := strings.CutPrefix(e.Key, "out/"); ok {
+			c.Entries = append(c.Entries, e)
+			c.ZonesOut = append(c.ZonesOut, almondstep.ZoneChange{Zone: almondstep.ZoneName(zone), Out: !e.Removed, Revision: e.Revision})
+			continue
+		}
 		c.Entries = append(c.Entries, e)
 		if id, ok := strings.CutPrefix(e.Key, "daemon/"); ok {
 			c.Daemons = append(c.Daemons, almondstep.DaemonChange{
-				Daemon: almondstep.DaemonID(id), Alive: !e.Removed, Zone: "z", Addr: almondstep.Address(id),
+				Daemon: almondstep.DaemonID(id), Alive: !e.Removed, Zone: zoneOf(id), Addr: almondstep.Address(id), Cores: coresOf(id), Revision: e.Revision,
 			})
 			continue
 		}
@@ -237,14 +305,14 @@
 	}
 	f.after(r.Wait+patience, func() { end(&almondstep.RegistryRead{From: r.From, Err: "no answer"}) })
 	f.after(way, func() {
-		peer := f.nodes[r.From]
-		if f.deaf[r.From] || f.deaf[n.id] {
+		peer := f.nodes[almondstep.DaemonID(r.Addr)]
+		if peer == nil || f.deaf[peer.id] || f.deaf[n.id] {
 			return
 		}
 		peer.calls++
 		peer.open[peer.calls] = func(news almondstep.RegistryNews) {
 			f.after(way, func() {
-				if f.deaf[r.From] || f.deaf[n.id] {
+				if f.deaf[peer.id] || f.deaf[n.id] {
 					return
 				}
 				changes := changesOf(f.t, news.Revision, news.Entries, 0)
--- a/watcher/news.go
+++ b/watcher/news.go
@@ -10,10 +10,10 @@
 }
 
 // asked answers another daemon at once if there is something to say, and else
-// when there is, or its wait is over.
+// when there is, the registry's word is confirmed anew, or its wait is over.
 func (w *Watcher) asked(now almondstep.Instant, e *almondstep.NewsAsked, out []almondstep.Effect) []almondstep.Effect {
 	a := asker{call: e.Call, after: e.After, until: now.Add(e.Wait)}
-	if w.failed || w.revision != e.After || e.Wait <= 0 {
+	if w.revision > e.After || e.Wait <= 0 {
 		return w.tell(now, a, out)
 	}
 	w.askers = append(w.askers, a)
@@ -25,14 +25,37 @@
 	return append(out, &almondstep.ReplyNews{Call: a.call, News: w.newsSince(now, a.after)})
 }
 
+// tellConfirmed answers all that wait once there is news, or the word is fresher
+// than what they were told by a good part of a beat.
+func (w *Watcher) tellConfirmed(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	const goodPart = 4
+	waiting := w.askers
+	if w.confirmedAt.Sub(w.toldAt) >= w.beat()/goodPart {
+		w.toldAt = w.confirmedAt
+		w.askers = nil
+		return w.tellAll(now, waiting, out)
+	}
+	w.askers = nil
+	var behind []asker
+	for _, a := range waiting {
+		if a.after < w.revision {
+			behind = append(behind, a)
+			continue
+		}
+		w.askers = append(w.askers, a)
+	}
+	return w.tellAll(now, behind, out)
+}
+
 // newsSince is what this daemon knows beyond a revision.
 func (w *Watcher) newsSince(now almondstep.Instant, after uint64) almondstep.RegistryNews {
 	news := almondstep.RegistryNews{
 		Revision: w.revision,
-		Lost:     w.failed,
 		LostAgo:  almondstep.AgeUnknown,
-		Source:   w.following,
-		Age:      now.Sub(w.confirmedAt),
+		Age:      w.age(now),
+	}
+	if w.readings.follows {
+		news.Source = w.readings.following.id
 	}
 	if w.failedAt != 0 {
 		news.LostAgo = now.Sub(w.failedAt)
@@ -43,11 +66,11 @@
 	return news
 }
 
-// tellAll answers all that wait. Nearly all of a zone know the same revision, so
-// that their news is the same.
-func (w *Watcher) tellAll(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+// tellAll answers daemons. Nearly all of them know the same revision, so that their
+// news is the same.
+func (w *Watcher) tellAll(now almondstep.Instant, to []asker, out []almondstep.Effect) []almondstep.Effect {
 	known := make(map[uint64]almondstep.RegistryNews)
-	for _, a := range w.askers {
+	for _, a := range to {
 		news, ok := known[a.after]
 		if !ok {
 			news = w.newsSince(now, a.after)
@@ -55,7 +78,6 @@
 		}
 		out = append(out, &almondstep.ReplyNews{Call: a.call, News: news})
 	}
-	w.askers = w.askers[:0]
 	return out
 }
 
@@ -72,20 +94,3 @@
 	w.askers = kept
 	return out
 }
-
-// confirm notes when the registry itself was last heard, and until when it gave no
-// answer: what is removed soon after may only have lapsed.
-func (w *Watcher) confirm(now almondstep.Instant, e *almondstep.RegistryRead) {
-	if w.outage {
-		w.outage = false
-		w.failedAt = now
-	}
-	if e.Teller == nil {
-		w.confirmedAt = now
-		return
-	}
-	w.confirmedAt = max(w.confirmedAt, now.Add(-e.Teller.Age))
-	if ago := e.Teller.LostAgo; ago != almondstep.AgeUnknown {
-		w.failedAt = max(w.failedAt, now.Add(-ago))
-	}
-}
--- a/watcher/source.go
+++ b/watcher/source.go
@@ -1,26 +1,19 @@
 package watcher
 
 import (
+	"cmp"
 	"slices"
-	"time"
 
 	"almondstep"
 	"almondstep/ranker"
 )
 
 const (
-	// peerPause is how long a daemon that gave no answer isn't asked again.
-	peerPause = 3 * time.Second
-	// peerLostPause is the same for one that answered, but knows nothing new.
-	peerLostPause = time.Second
-	// registryPause is how long a registry that gave no answer isn't asked again by
-	// the first daemon of a zone, and rankPause what each further one waits
-	// besides: in an outage few ask, and those tell the others.
-	registryPause = 400 * time.Millisecond
-	rankPause     = time.Second
-	// staleWaits is after how many waits of a watch the registry's word counts as
-	// old: one for each of two daemons that pass it on.
-	staleWaits = 3
+	// fanOut is the number of daemons that read from one in calm times: the state of
+	// a large registry can be handed on to so many at once.
+	fanOut = 8
+	// readers is the number of zones whose first daemon reads the registry itself.
+	readers = 2
 )
 
 // source is where this daemon reads: the registry itself, which has no id, or
@@ -30,103 +23,131 @@
 	addr almondstep.Address
 }
 
-// sources lists where this daemon may read, best first. The daemons of a zone are
-// in one order that all know: each asks those before it, so that only the first
-// reads the registry and the second takes over at once when it can't. Those after
-// it come last, for a daemon that is itself cut off from the registry.
+// registry is the source that isn't a daemon.
+func registry() source { return source{} }
+
+// sources lists where this daemon may read, best first.
 //
-// Example, for the second of three: first, registry, third.
+// The daemons of a zone form a tree, the largest first: each reads from its parent.
+// The first of a zone reads from the first of the two zones that come first, and
+// those read the registry. All daemons know this from their entries. Whoever gets
+// no answer, or an old word, goes on down its list, which has the registry and
+// daemons of all zones, so that a cut or an outage that leaves any way open leaves
+// the knowledge fresh.
 func (w *Watcher) sources() []source {
-	registry := source{}
-	if w.revision == 0 {
-		return []source{registry}
+	l := sourceList{w: w}
+	zones := w.zones()
+	own := w.order(w.cfg.Zone)
+	rank := slices.Index(own, w.cfg.Self)
+	leads := w.ranked(zones, 0)
+	if rank > 0 {
+		parent := (rank - 1) / fanOut
+		l.addAll(own[parent : parent+1])
+		if parent+1 < rank {
+			l.addAll(own[parent+1 : parent+2])
+		}
+		l.addAll(own[:1])
 	}
-	mates := w.mates()
-	list := make([]source, 0, len(mates)+1)
-	for _, id := range mates {
-		if id == w.cfg.Self {
-			list = append(list, registry)
-			continue
+	first := min(readers, len(zones))
+	if rank == 0 && slices.Contains(zones[:first], w.cfg.Zone) {
+		l.add(registry())
+	}
+	l.addAll(leads[:min(first, len(leads))])
+	l.add(registry())
+	l.addAll(own[:min(fanOut, len(own))])
+	l.addAll(leads)
+	l.addAll(w.ranked(zones, 1))
+	l.addAll(own)
+	if w.revision == 0 {
+		for _, addr := range w.cfg.Seeds {
+			l.add(seed(addr))
 		}
-		list = append(list, source{id: id, addr: w.daemons[id].addr})
 	}
-	return list
+	return l.list
 }
 
-// mates are the daemons of the own zone that can be asked, and this one, in the
-// zone's order.
-func (w *Watcher) mates() []almondstep.DaemonID {
-	ids := []almondstep.DaemonID{w.cfg.Self}
-	for id, d := range w.daemons {
-		if d.alive && d.zone == w.cfg.Zone && d.addr != "" {
-			ids = append(ids, id)
-		}
+// seed is a daemon of which only the address is known.
+func seed(addr almondstep.Address) source {
+	return source{id: almondstep.DaemonID(addr), addr: addr}
+}
+
+// sourceList collects sources, each once and none of this daemon itself.
+type sourceList struct {
+	w    *Watcher
+	list []source
+}
+
+func (l *sourceList) add(s source) {
+	if !slices.Contains(l.list, s) {
+		l.list = append(l.list, s)
 	}
-	return ranker.New(ids).Order("news/" + string(w.cfg.Zone))
 }
 
-// nextSource is the best source that hasn't just failed; false if all have.
-func (w *Watcher) nextSource(now almondstep.Instant) (source, bool) {
-	for _, s := range w.sources() {
-		if now >= w.avoid[s.id] {
-			return s, true
+func (l *sourceList) addAll(ids []almondstep.DaemonID) {
+	for _, id := range ids {
+		if id != l.w.cfg.Self {
+			l.add(source{id: id, addr: l.w.daemons[id].addr})
 		}
 	}
-	return source{}, false
 }
 
-// ask reads from a source. One that wasn't read from before only has to show that
-// it answers: a wait would hide that it doesn't.
-func (w *Watcher) ask(s source, out []almondstep.Effect) []almondstep.Effect {
-	w.reading = true
-	wait := w.cfg.WatchWait
-	if w.failed || s.id != w.following {
-		wait = 0
+// zones lists the zones of all daemons, in an order that all of them know.
+func (w *Watcher) zones() []almondstep.ZoneName {
+	w.order(w.cfg.Zone)
+	names := make([]almondstep.DaemonID, 0, len(w.orders))
+	for zone := range w.orders {
+		names = append(names, almondstep.DaemonID(zone))
+	}
+	zones := make([]almondstep.ZoneName, 0, len(names))
+	for _, name := range ranker.New(names).Order("news") {
+		zones = append(zones, almondstep.ZoneName(name))
 	}
-	return append(out, &almondstep.ReadRegistry{After: w.revision, Wait: wait, From: s.id, Addr: s.addr})
+	return zones
 }
 
-// refusal says why a reading is no good; empty if it is.
-func (w *Watcher) refusal(e *almondstep.RegistryRead) string {
-	switch t := e.Teller; {
-	case e.Err != "":
-		return e.Err
-	case t == nil:
-		return ""
-	case t.Lost:
-		return "it can't read the registry either"
-	case t.Source == w.cfg.Self:
-		return "it reads from this daemon"
-	case t.Age > staleWaits*w.cfg.WatchWait:
-		return "its word is old"
-	case t.Revision < w.revision:
-		return "it is behind"
+// ranked gives the daemon of a rank of each zone that has one.
+func (w *Watcher) ranked(zones []almondstep.ZoneName, rank int) []almondstep.DaemonID {
+	var ids []almondstep.DaemonID
+	for _, zone := range zones {
+		if order := w.order(zone); rank < len(order) {
+			ids = append(ids, order[rank])
+		}
 	}
-	return ""
+	return ids
 }
 
-// avoidSource leaves a source alone for a while.
-func (w *Watcher) avoidSource(now almondstep.Instant, e *almondstep.RegistryRead) {
-	pause := peerPause
-	switch {
-	case e.From == "":
-		rank := slices.Index(w.mates(), w.cfg.Self)
-		pause = registryPause + time.Duration(rank)*rankPause
-	case e.Err == "":
-		pause = peerLostPause
+// order lists the daemons of a zone that can be asked, the largest first; this
+// daemon is among those of its own zone. One whose lease has ended stays in its
+// place for a while: whether it lives is found by asking it.
+func (w *Watcher) order(zone almondstep.ZoneName) []almondstep.DaemonID {
+	if w.orders == nil {
+		w.orders = w.makeOrders()
 	}
-	w.avoid[e.From] = now.Add(pause)
+	return w.orders[zone]
 }
 
-// follow notes which source is read from now.
-func (w *Watcher) follow(e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
-	if e.From == w.following {
-		return out
+func (w *Watcher) makeOrders() map[almondstep.ZoneName][]almondstep.DaemonID {
+	byZone := map[almondstep.ZoneName][]almondstep.DaemonID{w.cfg.Zone: {w.cfg.Self}}
+	for id, d := range w.daemons {
+		if d.addr != "" && id != w.cfg.Self {
+			byZone[d.zone] = append(byZone[d.zone], id)
+		}
 	}
-	w.following = e.From
-	cause := "from the registry itself"
-	if e.From != "" {
-		cause = "from " + string(e.From)
+	for zone, ids := range byZone {
+		ids = ranker.New(ids).Order("news/" + string(zone))
+		slices.SortStableFunc(ids, func(a, b almondstep.DaemonID) int { return cmp.Compare(w.cores(b), w.cores(a)) })
+		byZone[zone] = ids
 	}
-	return append(out, w.report("registry is read", string(w.cfg.Self), cause, w.revision))
+	return byZone
 }
+
+// cores is the processor time of a daemon's VM, in cores.
+func (w *Watcher) cores(id almondstep.DaemonID) float64 {
+	if id == w.cfg.Self {
+		return w.cfg.Cores
+	}
+	return w.daemons[id].cores
+}
+
+// rank is this daemon's place in its zone, from 0.
+func (w *Watcher) rank() int { return slices.Index(w.order(w.cfg.Zone), w.cfg.Self) }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"almondstep"
+	"almondstep/ranker"
 )
 
 const (
-	// watchPause is the least time between two watches, so that one call brings
-	// what changes in a burst.
-	watchPause = 500 * time.Millisecond
-	// failurePause is the time after which a failed announcement is tried again.
-	failurePause = 250 * time.Millisecond
-	// DefaultWatchWait is how long a watch waits for a change.
-	DefaultWatchWait = 2 * time.Second
+	// leastRetry and mostRetry are the times after which a failed announcement is
+	// tried again; the time doubles with each failure in a row.
+	leastRetry = 250 * time.Millisecond
+	mostRetry  = 8 * time.Second
+	// DefaultBound is the time within which news must have reached a daemon.
+	DefaultBound = 4 * time.Second
 	// LapseGrace is how long an entry that lapsed while the registry was away is
 	// still used after its return.
 	LapseGrace = 2200 * time.Millisecond
@@ -21,10 +21,11 @@
 	outageHolds = 2500 * time.Millisecond
 	// leaseTTL and renewEvery keep this daemon's own entry. That a daemon is gone
 	// shows sooner to those that ask it.
-	leaseTTL   = 15 * time.Second
-	renewEvery = 4500 * time.Millisecond
+	leaseTTL   = 30 * time.Second
+	renewEvery = 9 * time.Second
 	// daemonHolds is how long a daemon whose lease has ended still counts among
-	// those that share a bound: it may live on behind a cut.
+	// those that share a bound, and can be asked: it may live on behind a cut, and
+	// an outage of the registry ends leases of daemons that are well.
 	daemonHolds = 30 * time.Second
 )
 
@@ -34,8 +35,12 @@
 	Zone almondstep.ZoneName
 	// Cores is the processor time that this daemon's VM has, in cores.
 	Cores float64
-	// WatchWait is how long a watch waits for a change; 0 means DefaultWatchWait.
-	WatchWait time.Duration
+	// Bound is the time within which what the registry says must be known here;
+	// knowledge that wasn't confirmed for so long is old. 0 means DefaultBound.
+	Bound time.Duration
+	// Seeds are addresses at which other daemons may answer, for a daemon that
+	// knows nothing and can't reach the registry.
+	Seeds []almondstep.Address
 }
 
 // Watcher is the control partition.
@@ -43,30 +48,40 @@
 	cfg      Config
 	routes   *almondstep.RouteTable
 	entries  map[string]*entry
-	zonesOut map[almondstep.ZoneName]bool
+	zonesOut map[almondstep.ZoneName]zoneOut
 	daemons  map[almondstep.DaemonID]*daemon
 	stopping bool
-	// revision is what the registry was last read at; 0 asks for all of it.
-	revision   uint64
-	reading    bool
-	readAt     almondstep.Instant
+	// revision is the one up to which the registry is known; 0 if it isn't.
+	revision uint64
+	// confirmedAt is the last instant of which it is certain that all that the
+	// registry held then is known here; 0 if there is none.
+	confirmedAt almondstep.Instant
+	// reread asks for all of the registry: its history since revision is gone.
+	reread     bool
+	boot       boot
+	readings   readings
+	search     search
+	random     almondstep.Random
 	announcing bool
 	announceAt almondstep.Instant
-	// failed says that the last reading failed; warned, that the log says so.
-	failed bool
+	// announceRetry is the time after which the next failed one is tried again.
+	announceRetry time.Duration
+	// warned says that the log tells that the knowledge is old.
 	warned bool
 	// outage says that the registry itself gave no answer here; failedAt is until
 	// when it is known to have given none, here or to a daemon asked.
 	outage   bool
 	failedAt almondstep.Instant
-	// confirmedAt is when the registry itself was last heard.
-	confirmedAt almondstep.Instant
-	// following is the source read from; avoid has when each may be asked again.
-	following almondstep.DaemonID
-	avoid     map[almondstep.DaemonID]almondstep.Instant
-	journal   journal
-	askers    []asker
-	shared    int
+	journal  journal
+	askers   []asker
+	// toldAt is the confirmation that those who ask were last told.
+	toldAt almondstep.Instant
+	shared int
+	// orders has the daemons of each zone in the order in which they read; nil if
+	// it must be made anew.
+	orders map[almondstep.ZoneName][]almondstep.DaemonID
+	// directory is the one last published.
+	directory *almondstep.Directory
 }
 
 // entry is an upstream's entry in the registry.
@@ -77,28 +92,38 @@
 	goneAt almondstep.Instant
 }
 
+// zoneOut says whether operators have taken a zone out, as of a revision.
+type zoneOut struct {
+	out      bool
+	revision uint64
+}
+
 // daemon is another daemon's entry, or this one's.
 type daemon struct {
-	alive bool
-	zone  almondstep.ZoneName
-	addr  almondstep.Address
-	cores float64
+	alive    bool
+	revision uint64
+	zone     almondstep.ZoneName
+	addr     almondstep.Address
+	cores    float64
 	// goneAt is when a daemon without a lease no longer counts.
 	goneAt almondstep.Instant
 }
 
 // New makes a Watcher that knows nothing yet.
 func New(cfg Config) *Watcher {
-	if cfg.WatchWait == 0 {
-		cfg.WatchWait = DefaultWatchWait
+	if cfg.Bound == 0 {
+		cfg.Bound = DefaultBound
 	}
 	return &Watcher{
 		cfg:      cfg,
 		entries:  make(map[string]*entry),
-		zonesOut: make(map[almondstep.ZoneName]bool),
+		zonesOut: make(map[almondstep.ZoneName]zoneOut),
 		daemons:  make(map[almondstep.DaemonID]*daemon),
-		avoid:    make(map[almondstep.DaemonID]almondstep.Instant),
-		journal:  newJournal(),
+		readings: newReadings(),
+
+		announceRetry: leastRetry,
+		random:        almondstep.NewRandom(ranker.Hash(string(cfg.Self))),
+		journal:       newJournal(),
 	}
 }
 
@@ -126,90 +151,70 @@
 		out = w.publish(out)
 	}
 	out = w.tellDue(now, out)
-	if !w.reading && now >= w.readAt {
-		if s, ok := w.nextSource(now); ok {
-			out = w.ask(s, out)
-		}
-	}
-	if !w.announcing && !w.stopping && now >= w.announceAt {
-		w.announcing = true
-		out = append(out, &almondstep.AnnounceDaemon{TTL: leaseTTL})
+	if w.revision == 0 {
+		out = w.start(now, out)
+	} else {
+		out = w.keepReading(now, out)
+	}
+	out = w.searchOn(now, out)
+	out = w.warn(now, out)
+	return w.announce(now, out)
+}
+
+// announce renews the lease if it is time.
+func (w *Watcher) announce(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if w.announcing || w.stopping || now < w.announceAt {
+		return out
 	}
-	return out
+	w.announcing = true
+	return append(out, &almondstep.AnnounceDaemon{TTL: leaseTTL})
 }
 
 func (w *Watcher) announced(now almondstep.Instant, e *almondstep.DaemonAnnounced) {
 	w.announcing = false
-	w.announceAt = now.Add(renewEvery)
-	if e.Err != "" {
-		w.announceAt = now.Add(failurePause)
+	if e.Err == "" {
+		w.announceRetry = leastRetry
+		w.announceAt = now.Add(renewEvery)
+		return
 	}
+	w.announceAt = now.Add(w.announceRetry)
+	w.announceRetry = min(2*w.announceRetry, mostRetry)
 }
 
-// read takes in what was read, or that nothing could be.
-func (w *Watcher) read(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
-	w.reading = false
-	w.readAt = now
-	if e.Compacted {
-		out = append(out, w.report("registry history is gone, reading all of it", string(w.cfg.Self), "", w.revision))
-		w.revision = 0
-		return out
+// age is how long ago the knowledge was last confirmed; AgeUnknown if never.
+func (w *Watcher) age(now almondstep.Instant) time.Duration {
+	if w.confirmedAt == 0 {
+		return almondstep.AgeUnknown
 	}
-	if cause := w.refusal(e); cause != "" {
-		return w.lost(now, e, cause, out)
-	}
-	w.failed = false
-	if w.warned {
-		w.warned = false
-		out = append(out, w.report("registry regained", string(w.cfg.Self), "", e.Changes.Revision))
-	}
-	out = w.follow(e, out)
-	w.confirm(now, e)
-	if e.From == "" && (e.Whole || !e.Changes.Empty()) {
-		// A watch without changes has waited its time already.
-		w.readAt = now.Add(watchPause)
-	}
-	return w.takeIn(now, e, out)
+	return now.Sub(w.confirmedAt)
 }
 
-// takeIn puts what was read in force and tells those that wait for it.
-func (w *Watcher) takeIn(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
-	changed, out := w.apply(now, e, out)
-	w.journal.take(e.Changes.Entries, e.Whole, e.Changes.Revision)
-	if changed {
-		out = w.publish(out)
-	}
-	if e.Changes.Revision <= w.revision {
-		return out
-	}
-	w.revision = e.Changes.Revision
-	return w.tellAll(now, out)
-}
+// beat is the time between two confirmations in calm times: each daemon hears the
+// registry's word once a beat, itself or through others.
+func (w *Watcher) beat() time.Duration { return w.cfg.Bound / 2 }
 
-// lost leaves a source alone and tells those that ask here. The daemon goes on
-// with what it knows; it says so in the log once no other source is left.
-func (w *Watcher) lost(now almondstep.Instant, e *almondstep.RegistryRead, cause string, out []almondstep.Effect) []almondstep.Effect {
-	w.avoidSource(now, e)
-	if e.From == "" {
-		w.outage = true
-		w.failedAt = now
-	}
-	if !w.failed {
-		w.failed = true
-		out = w.tellAll(now, out)
+// lateAfter is the age from which on the word is overdue, while there is still time
+// to find it elsewhere before the knowledge is old.
+func (w *Watcher) lateAfter() time.Duration { return w.cfg.Bound * 3 / 4 }
+
+func (w *Watcher) late(now almondstep.Instant) bool { return w.age(now) > w.lateAfter() }
+
+// warn says in the log when the knowledge is old, and when it no longer is.
+func (w *Watcher) warn(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	if w.confirmedAt == 0 {
+		return out
 	}
-	_, more := w.nextSource(now)
-	if w.warned || more && now.Sub(w.confirmedAt) < staleWaits*w.cfg.WatchWait {
+	old := w.age(now) > w.cfg.Bound
+	if old == w.warned {
 		return out
 	}
-	w.warned = true
-	return append(out, &almondstep.Report{
-		Level:   almondstep.ReportWarn,
-		Message: "registry lost, going on with what is known",
-		Subject: string(w.cfg.Self),
-		Cause:   cause,
-		Version: w.revision,
-	})
+	w.warned = old
+	if !old {
+		return append(out, w.report("registry regained", string(w.cfg.Self), "", w.revision))
+	}
+	r := w.report("registry lost, going on with what is known", string(w.cfg.Self), w.readings.cause, w.revision)
+	r.Level = almondstep.ReportWarn
+	return append(out, r)
 }
 
 // report says what the daemon now believes, and from which revision.
