--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -1,8 +1,6 @@
 package watcher
 
 import (
-	"maps"
-	"slices"
 	"strconv"
 
 	"almondstep"
@@ -44,7 +42,7 @@
 	var reports []almondstep.Effect
 	changed := false
 	for _, u := range e.Changes.Upstreams {
-		before := w.entries[u.Key]
+		before := w.listing.entries[u.Key]
 		if !w.applyUpstream(now, u) {
 			continue
 		}
@@ -67,7 +65,11 @@
 		return false
 	}
 	w.zonesOut[c.Zone] = zoneOut{out: c.Out, revision: c.Revision}
-	return held.out != c.Out
+	if held.out == c.Out {
+		return false
+	}
+	w.listing.changed()
+	return true
 }
 
 func outWord(out bool) string {
@@ -104,31 +106,28 @@
 }
 
 func (w *Watcher) applyUpstream(now almondstep.Instant, c almondstep.UpstreamChange) bool {
-	held, known := w.entries[c.Key]
+	held, known := w.listing.entries[c.Key]
 	if known && c.Revision < held.revision {
 		return false
 	}
 	if c.Upstream == nil {
 		return w.remove(now, c.Key)
 	}
-	w.entries[c.Key] = &entry{upstream: c.Upstream, revision: c.Revision}
+	w.listing.put(c.Key, c.Upstream, c.Revision)
 	return true
 }
 
 // remove drops an entry, at once or, if it may have lapsed in an outage, a
 // moment later.
 func (w *Watcher) remove(now almondstep.Instant, key string) bool {
-	held, known := w.entries[key]
-	if !known {
+	if _, known := w.listing.entries[key]; !known {
 		return false
 	}
 	if w.failedAt == 0 || now.Sub(w.failedAt) > outageHolds {
-		delete(w.entries, key)
+		w.listing.drop(key)
 		return true
 	}
-	if held.goneAt == 0 {
-		held.goneAt = now.Add(LapseGrace)
-	}
+	w.listing.lapse(key, now.Add(LapseGrace))
 	return false
 }
 
@@ -139,7 +138,7 @@
 		listed[u.Key] = true
 	}
 	changed := false
-	for key, held := range w.entries {
+	for key, held := range w.listing.entries {
 		if !listed[key] && held.revision <= c.Revision {
 			changed = w.remove(now, key) || changed
 		}
@@ -199,13 +198,11 @@
 // was dropped.
 func (w *Watcher) expire(now almondstep.Instant, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	changed := false
-	for _, key := range slices.Sorted(maps.Keys(w.entries)) {
-		held := w.entries[key]
-		if held.goneAt != 0 && now >= held.goneAt {
-			delete(w.entries, key)
-			changed = true
-			out = w.reportUpstream(almondstep.UpstreamChange{Key: key, Revision: held.revision}, held, out)
-		}
+	for _, key := range w.listing.expired(now) {
+		held := w.listing.entries[key]
+		w.listing.drop(key)
+		changed = true
+		out = w.reportUpstream(almondstep.UpstreamChange{Key: key, Revision: held.revision}, held, out)
 	}
 	for id, d := range w.daemons {
 		if !d.alive && now >= d.goneAt {
@@ -224,16 +221,10 @@
 func (w *Watcher) publish(out []almondstep.Effect) []almondstep.Effect {
 	w.shared = w.sharing()
 	gatherers := w.gatherers()
-	upstreams := make(map[almondstep.ServiceName][]*almondstep.Upstream)
-	for _, key := range slices.Sorted(maps.Keys(w.entries)) {
-		u := w.entries[key].upstream
-		if !u.Leaving && !w.zonesOut[u.Zone].out {
-			upstreams[u.Service] = append(upstreams[u.Service], u)
-		}
-	}
+	usable := func(u *almondstep.Upstream) bool { return !u.Leaving && !w.zonesOut[u.Zone].out }
 	w.directory = almondstep.NewDirectory(almondstep.DirectoryParts{
 		Routes:    w.routes,
-		Upstreams: upstreams,
+		Upstreams: w.listing.upstreams(usable),
 		Daemons:   w.shared,
 		Gatherers: gatherers,
 		Delegates: w.delegates(gatherers),
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -47,7 +47,7 @@
 type Watcher struct {
 	cfg      Config
 	routes   *almondstep.RouteTable
-	entries  map[string]*entry
+	listing  listing
 	zonesOut map[almondstep.ZoneName]zoneOut
 	daemons  map[almondstep.DaemonID]*daemon
 	stopping bool
@@ -84,14 +84,6 @@
 	directory *almondstep.Directory
 }
 
-// entry is an upstream's entry in the registry.
-type entry struct {
-	upstream *almondstep.Upstream
-	revision uint64
-	// goneAt is when a lapsed entry is dropped; 0 if it isn't lapsed.
-	goneAt almondstep.Instant
-}
-
 // zoneOut says whether operators have taken a zone out, as of a revision.
 type zoneOut struct {
 	out      bool
@@ -116,7 +108,7 @@
 	}
 	return &Watcher{
 		cfg:      cfg,
-		entries:  make(map[string]*entry),
+		listing:  newListing(),
 		zonesOut: make(map[almondstep.ZoneName]zoneOut),
 		daemons:  make(map[almondstep.DaemonID]*daemon),
 		readings: newReadings(),
