A change of a long registry entry is told as a patch

One change of the routes sent the whole configuration to each daemon of a fleet. A daemon that asks for news now names the edition that it holds of each long entry; who knows that edition answers with a patch (package patcher, entries of a JSON document), checked by the hash of the whole, and a patch that doesn't fit is asked for whole. The last four editions are kept. Values travel as bytes, no longer as base64 text. The size of control messages is counted in the metrics (news, newsReply).

--- a/message_registry.go
+++ b/message_registry.go
@@ -25,6 +25,21 @@
 	// Removed entries have no value.
 	Removed bool   `json:"removed,omitempty"`
 	Value   string `json:"value,omitempty"`
+	// Base is above 0 if Value is a patch of the value as of that revision, and Sum
+	// the hash of the whole value.
+	Base uint64 `json:"base,omitempty"`
+	Sum  uint64 `json:"sum,omitempty"`
+}
+
+// NewsQuestion is what a daemon asks another one of the registry.
+type NewsQuestion struct {
+	// After is the revision up to which the asker knows the registry.
+	After uint64 `json:"after"`
+	// Wait is how long it waits for changes.
+	Wait time.Duration `json:"wait"`
+	// Holds are the long entries that it has: changes of them can be told as patches.
+	// Their values aren't sent.
+	Holds []RegistryEntry `json:"holds,omitempty"`
 }
 
 // RegistryNews is what one daemon tells another of the registry.
@@ -103,9 +118,8 @@
 // NewsAsked says that another daemon asks for what changes after a revision, and
 // waits for it; the answer is a ReplyNews.
 type NewsAsked struct {
-	Call  CallID        `json:"call"`
-	After uint64        `json:"after"`
-	Wait  time.Duration `json:"wait"`
+	Call     CallID       `json:"call"`
+	Question NewsQuestion `json:"question"`
 }
 
 // ReplyNews answers a NewsAsked.
@@ -122,8 +136,7 @@
 // ReadRegistry asks for the whole registry or, if After is above 0, for what
 // changes after that revision.
 type ReadRegistry struct {
-	After uint64        `json:"after"`
-	Wait  time.Duration `json:"wait"`
+	NewsQuestion
 	// From is the daemon to ask, and Addr its address; empty for the registry
 	// itself.
 	From DaemonID `json:"from,omitempty"`
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
-	"google.golang.org/protobuf/proto"
 
 	"almondstep"
 	"almondstep/messenger/peerpb"
@@ -99,7 +98,7 @@
 // Probe exchanges digests with a daemon; with a target the daemon probes it too.
 func (c *Client) Probe(ctx context.Context, to almondstep.Address, target almondstep.DaemonID, d *almondstep.Digest) (*almondstep.Digest, bool, error) {
 	req := &peerpb.ProbeRequest{Digest: encodeDigest(d), Target: string(target)}
-	c.count("probe", req)
+	count(c.Sent, "probe", req)
 	r, err := call(ctx, c.peer(to), (*clients).Probe, req)
 	if err != nil {
 		return nil, false, classify(err)
@@ -110,7 +109,7 @@
 // Pull asks for a document newer than have; nil if there is none.
 func (c *Client) Pull(ctx context.Context, to almondstep.Address, from almondstep.DaemonID, have almondstep.DocumentState) (*almondstep.Patch, error) {
 	req := &peerpb.PullRequest{From: string(from), Have: encodeState(have)}
-	c.count("pull", req)
+	count(c.Sent, "pull", req)
 	r, err := call(ctx, c.peer(to), (*clients).Pull, req)
 	if err != nil {
 		return nil, classify(err)
@@ -150,12 +149,6 @@
 	return decodeStatus(r), nil
 }
 
-func (c *Client) count(kind string, m proto.Message) {
-	if c.Sent != nil {
-		c.Sent(kind, proto.Size(m))
-	}
-}
-
 // classify says whether a failed call can have had an effect. A refused dial
 // and the owner's own refusal can't; everything else may.
 func classify(err error) error {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"reflect"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"almondstep"
 	"almondstep/messenger"
+	"almondstep/patcher"
 )
 
 // echo is a PeerServer that answers from what it is asked.
@@ -212,40 +214,70 @@
 	}
 }
 
-// newsroom is a NewsServer that answers from what it is asked.
+// newsroom is a NewsServer that answers one thing.
 type newsroom struct {
-	after uint64
-	wait  time.Duration
+	question *almondstep.NewsQuestion
+	news     *almondstep.RegistryNews
 }
 
-func (n *newsroom) News(_ context.Context, after uint64, wait time.Duration) (*almondstep.RegistryNews, error) {
-	n.after, n.wait = after, wait
-	return filled[almondstep.RegistryNews](), nil
+func (n *newsroom) News(_ context.Context, q *almondstep.NewsQuestion) (*almondstep.RegistryNews, error) {
+	n.question = q
+	return n.news, nil
 }
 
-// News of the registry arrive with every field. A server that has none refuses.
+// wholeEntries has every field of entries set that aren't patches.
+func wholeEntries() []almondstep.RegistryEntry {
+	entries := *filled[[]almondstep.RegistryEntry]()
+	for i := range entries {
+		entries[i].Base, entries[i].Sum = 0, 0
+	}
+	return entries
+}
+
+// News of the registry arrive with every field, patches as the whole that they make,
+// and a patch that doesn't fit is refused. A server that has none refuses.
 func TestNewsSurvivesTheWire(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &newsroom{}
+	n := &newsroom{news: filled[almondstep.RegistryNews]()}
+	n.news.Entries = wholeEntries()
 	s := &messenger.Server{News: n}
 	s.Init()
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
 	c := &messenger.Client{}
-	got, err := c.News(t.Context(), almondstep.Address(l.Addr().String()), 7, time.Second)
+	addr := almondstep.Address(l.Addr().String())
+	held := almondstep.RegistryEntry{Key: "k", Revision: 5, Value: `{"routes": [{"name": "a"}, {"name": "b"}, {"name": "c"}, {"name": "d"}]}`}
+	q := &almondstep.NewsQuestion{After: 7, Wait: time.Second, Holds: []almondstep.RegistryEntry{held}}
+	got, err := c.News(t.Context(), addr, q)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := filled[almondstep.RegistryNews](); !reflect.DeepEqual(got, want) {
+	want := filled[almondstep.RegistryNews]()
+	want.Entries = wholeEntries()
+	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if n.after != 7 || n.wait != time.Second {
-		t.Errorf("got after %d and wait %v, want 7 and 1s", n.after, n.wait)
+	told := &almondstep.NewsQuestion{After: 7, Wait: time.Second, Holds: []almondstep.RegistryEntry{{Key: "k", Revision: 5}}}
+	if got, want := n.question, told; !reflect.DeepEqual(got, want) {
+		t.Errorf("got question %+v, want %+v", got, want)
+	}
+	newer := held
+	newer.Revision, newer.Value = 9, strings.Replace(held.Value, `"b"`, `"b", "out": true`, 1)
+	patch := patcher.MakeEntry(held, newer)
+	if patch.Base != held.Revision {
+		t.Fatalf("got %+v, want a patch", patch)
+	}
+	n.news.Entries = []almondstep.RegistryEntry{patch}
+	if got, err = c.News(t.Context(), addr, q); err != nil || !reflect.DeepEqual(got.Entries, []almondstep.RegistryEntry{newer}) {
+		t.Errorf("got %+v and %v, want %+v", got, err, newer)
+	}
+	if _, err := c.News(t.Context(), addr, told); !errors.Is(err, almondstep.ErrCorrupt) {
+		t.Errorf("got %v of a patch of another text, want ErrCorrupt", err)
 	}
-	if _, err := c.News(t.Context(), serve(t, &echo{}), 7, time.Second); !errors.Is(err, almondstep.ErrUnavailable) {
+	if _, err := c.News(t.Context(), serve(t, &echo{}), q); !errors.Is(err, almondstep.ErrUnavailable) {
 		t.Errorf("got %v of a server without news, want ErrUnavailable", err)
 	}
 }
--- a/messenger/news.go
+++ b/messenger/news.go
@@ -6,34 +6,56 @@
 
 	"almondstep"
 	"almondstep/messenger/peerpb"
+	"almondstep/patcher"
 )
 
 var _ almondstep.MateClient = (*Client)(nil)
 
-// News waits, at most wait, for what a daemon learns from the registry after a
-// revision.
-func (c *Client) News(ctx context.Context, to almondstep.Address, after uint64, wait time.Duration) (*almondstep.RegistryNews, error) {
-	req := &peerpb.NewsRequest{After: after, Wait: int64(wait)}
-	c.count("news", req)
+// News waits for what a daemon learns from the registry. Long entries that the
+// question holds may come as patches; they are put together here.
+func (c *Client) News(ctx context.Context, to almondstep.Address, q *almondstep.NewsQuestion) (*almondstep.RegistryNews, error) {
+	req := encodeQuestion(q)
+	count(c.Sent, "news", req)
 	r, err := call(ctx, c.peer(to), (*clients).Watch, req)
 	if err != nil {
 		return nil, classify(err)
 	}
-	return decodeNews(r), nil
+	n := decodeNews(r)
+	return n, patcher.ApplyEntries(q.Holds, n.Entries)
 }
 
 // newsHandler is the generated interface over a NewsServer.
 type newsHandler struct {
 	news almondstep.NewsServer
+	sent func(kind string, bytes int)
 }
 
 // Watch answers when something has changed or the asker's wait is over.
 func (h *newsHandler) Watch(ctx context.Context, r *peerpb.NewsRequest) (*peerpb.NewsReply, error) {
-	n, err := h.news.News(ctx, r.GetAfter(), time.Duration(r.GetWait()))
+	n, err := h.news.News(ctx, decodeQuestion(r))
 	if err != nil {
 		return nil, refuse(err)
 	}
-	return encodeNews(n), nil
+	out := encodeNews(n)
+	count(h.sent, "newsReply", out)
+	return out, nil
+}
+
+// encodeQuestion leaves out the values that the asker holds.
+func encodeQuestion(q *almondstep.NewsQuestion) *peerpb.NewsRequest {
+	r := &peerpb.NewsRequest{After: q.After, Wait: int64(q.Wait)}
+	for _, e := range q.Holds {
+		r.Holds = append(r.Holds, &peerpb.RegistryEntry{Key: e.Key, Revision: e.Revision})
+	}
+	return r
+}
+
+func decodeQuestion(r *peerpb.NewsRequest) *almondstep.NewsQuestion {
+	q := &almondstep.NewsQuestion{After: r.GetAfter(), Wait: time.Duration(r.GetWait())}
+	for _, e := range r.GetHolds() {
+		q.Holds = append(q.Holds, almondstep.RegistryEntry{Key: e.GetKey(), Revision: e.GetRevision()})
+	}
+	return q
 }
 
 func encodeNews(n *almondstep.RegistryNews) *peerpb.NewsReply {
@@ -46,7 +68,9 @@
 		Age:      int64(n.Age),
 	}
 	for i, e := range n.Entries {
-		r.Entries[i] = &peerpb.RegistryEntry{Key: e.Key, Revision: e.Revision, Removed: e.Removed, Value: e.Value}
+		r.Entries[i] = &peerpb.RegistryEntry{
+			Key: e.Key, Revision: e.Revision, Removed: e.Removed, Value: []byte(e.Value), Base: e.Base, Sum: e.Sum,
+		}
 	}
 	return r
 }
@@ -65,7 +89,9 @@
 			Key:      e.GetKey(),
 			Revision: e.GetRevision(),
 			Removed:  e.GetRemoved(),
-			Value:    e.GetValue(),
+			Value:    string(e.GetValue()),
+			Base:     e.GetBase(),
+			Sum:      e.GetSum(),
 		}
 	}
 	return n
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -69,7 +69,7 @@
 		services.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&handler{peer: s.Peer, sent: s.Sent}))
 	}
 	if s.News != nil {
-		services.Handle(peerpb.NewsPathPrefix, peerpb.NewNewsServer(&newsHandler{news: s.News}))
+		services.Handle(peerpb.NewsPathPrefix, peerpb.NewNewsServer(&newsHandler{news: s.News, sent: s.Sent}))
 	}
 	if s.Gatherer != nil {
 		services.Handle(peerpb.DelegatePathPrefix, peerpb.NewDelegateServer(&gatherHandler{gatherer: s.Gatherer}))
@@ -144,7 +144,7 @@
 		return nil, refuse(err)
 	}
 	out := &peerpb.ProbeReply{Digest: encodeDigest(d), Ok: ok}
-	h.count("probeReply", out)
+	count(h.sent, "probeReply", out)
 	return out, nil
 }
 
@@ -164,7 +164,7 @@
 		Hash:     string(p.Hash),
 		Body:     p.Body,
 	}
-	h.count("pullReply", out)
+	count(h.sent, "pullReply", out)
 	return out, nil
 }
 
@@ -189,9 +189,10 @@
 	return encodeStatus(s), nil
 }
 
-func (h *handler) count(kind string, m proto.Message) {
-	if h.sent != nil {
-		h.sent(kind, proto.Size(m))
+// count tells sent, if it is set, of a control message.
+func count(sent func(kind string, bytes int), kind string, m proto.Message) {
+	if sent != nil {
+		sent(kind, proto.Size(m))
 	}
 }
 
--- a/outside.go
+++ b/outside.go
@@ -55,9 +55,9 @@
 }
 
 // NewsServer answers other daemons that want to know what changes in the
-// registry. It waits, at most wait, until something has.
+// registry. It waits, as long as the question says, until something has.
 type NewsServer interface {
-	News(ctx context.Context, after uint64, wait time.Duration) (*RegistryNews, error)
+	News(ctx context.Context, q *NewsQuestion) (*RegistryNews, error)
 }
 
 // GatherServer answers requests over shards that other daemons hand over. It
@@ -75,9 +75,10 @@
 	Gather(ctx context.Context, to Address, ask *GatherAsked) (*Reply, error)
 }
 
-// NewsClient asks another daemon what changes in the registry.
+// NewsClient asks another daemon what changes in the registry. It returns
+// ErrCorrupt if a patch in the answer doesn't fit what the question holds.
 type NewsClient interface {
-	News(ctx context.Context, to Address, after uint64, wait time.Duration) (*RegistryNews, error)
+	News(ctx context.Context, to Address, q *NewsQuestion) (*RegistryNews, error)
 }
 
 // Exchanger sends one call to an upstream and says how it ended. It never sends
--- a/runner/registry.go
+++ b/runner/registry.go
@@ -39,7 +39,11 @@
 func (r *Runner) readNews(ctx context.Context, f *almondstep.ReadRegistry, e *almondstep.RegistryRead) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+newsGrace)
 	defer cancel()
-	news, err := r.Mates.News(ctx, f.Addr, f.After, f.Wait)
+	news, err := r.Mates.News(ctx, f.Addr, &f.NewsQuestion)
+	if errors.Is(err, almondstep.ErrCorrupt) {
+		whole := almondstep.NewsQuestion{After: f.After}
+		news, err = r.Mates.News(ctx, f.Addr, &whole)
+	}
 	if err != nil {
 		return err
 	}
@@ -50,10 +54,10 @@
 }
 
 // News answers another daemon that asks what changes in the registry.
-func (r *Runner) News(ctx context.Context, after uint64, wait time.Duration) (*almondstep.RegistryNews, error) {
+func (r *Runner) News(ctx context.Context, q *almondstep.NewsQuestion) (*almondstep.RegistryNews, error) {
 	call, reply := r.calls.add()
 	defer r.calls.remove(call)
-	r.control.push(&almondstep.NewsAsked{Call: call, After: after, Wait: wait})
+	r.control.push(&almondstep.NewsAsked{Call: call, Question: *q})
 	f, err := r.calls.wait(ctx, r.life.ctx(), reply)
 	if err != nil {
 		return nil, err
--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/patcher"
 	"almondstep/watcher"
 )
 
@@ -315,11 +316,15 @@
 				if f.deaf[peer.id] || f.deaf[n.id] {
 					return
 				}
+				news.Entries = slices.Clone(news.Entries)
+				if err := patcher.ApplyEntries(r.Holds, news.Entries); err != nil {
+					f.t.Errorf("%s asks %s: %v", n.id, r.From, err)
+				}
 				changes := changesOf(f.t, news.Revision, news.Entries, 0)
 				end(&almondstep.RegistryRead{From: r.From, Whole: news.Whole, Teller: &news, Changes: changes})
 			})
 		}
-		f.deliver(peer, &almondstep.NewsAsked{Call: peer.calls, After: r.After, Wait: r.Wait})
+		f.deliver(peer, &almondstep.NewsAsked{Call: peer.calls, Question: r.NewsQuestion})
 	})
 }
 
--- a/watcher/journal.go
+++ b/watcher/journal.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"almondstep"
+	"almondstep/patcher"
 )
 
 // removalsKept is how many removed entries are remembered, for daemons that ask
@@ -19,10 +21,23 @@
 	removals int
 	// from is the revision from which on every removal is remembered.
 	from uint64
+	// longKeys has the keys of the long entries.
+	longKeys map[string]struct{}
+	// former has the last editions of the long entries, oldest first.
+	former map[string][]almondstep.RegistryEntry
 }
 
+// formerKept is the number of former editions of a long entry that are kept, for
+// daemons that have one of them.
+const formerKept = 4
+
 func newJournal() journal {
-	return journal{entries: make(map[string]almondstep.RegistryEntry)}
+	return journal{
+		entries: make(map[string]almondstep.RegistryEntry),
+
+		longKeys: make(map[string]struct{}),
+		former:   make(map[string][]almondstep.RegistryEntry),
+	}
 }
 
 // take notes changes; a whole reading up to a revision also removes what it
@@ -49,6 +64,40 @@
 		j.removals++
 	}
 	j.entries[e.Key] = e
+	delete(j.longKeys, e.Key)
+	if len(e.Value) >= patcher.LongEntry {
+		j.longKeys[e.Key] = struct{}{}
+	}
+	if known && len(held.Value) >= patcher.LongEntry && held.Revision < e.Revision {
+		editions := append(j.former[e.Key], held)
+		j.former[e.Key] = editions[max(0, len(editions)-formerKept):]
+	}
+}
+
+// long lists the long entries, in the order of their keys.
+func (j *journal) long() []almondstep.RegistryEntry {
+	var list []almondstep.RegistryEntry
+	for _, key := range slices.Sorted(maps.Keys(j.longKeys)) {
+		list = append(list, j.entries[key])
+	}
+	return list
+}
+
+// patch puts patches in place of the long entries of which the asker holds a former
+// edition that is known here.
+func (j *journal) patch(entries, holds []almondstep.RegistryEntry) {
+	for i, e := range entries {
+		for _, h := range holds {
+			if h.Key != e.Key || e.Removed {
+				continue
+			}
+			for _, old := range j.former[e.Key] {
+				if old.Revision == h.Revision {
+					entries[i] = patcher.MakeEntry(old, e)
+				}
+			}
+		}
+	}
 }
 
 func (j *journal) removeUnlisted(entries []almondstep.RegistryEntry, revision uint64) {
@@ -77,6 +126,7 @@
 	slices.SortFunc(removed, byRevision)
 	for _, e := range removed[:len(removed)/2] {
 		delete(j.entries, e.Key)
+		delete(j.former, e.Key)
 		j.removals--
 		j.from = max(j.from, e.Revision)
 	}
--- a/watcher/journal_test.go
+++ b/watcher/journal_test.go
@@ -2,17 +2,19 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"almondstep"
+	"almondstep/patcher"
 	"almondstep/watcher"
 )
 
 // told asks a watcher for news without waiting.
 func told(t *testing.T, w *watcher.Watcher, after uint64) almondstep.RegistryNews {
 	t.Helper()
-	for _, f := range w.Reduce(almondstep.Instant(time.Second), &almondstep.NewsAsked{Call: 1, After: after}, nil) {
+	for _, f := range w.Reduce(almondstep.Instant(time.Second), &almondstep.NewsAsked{Call: 1, Question: almondstep.NewsQuestion{After: after}}, nil) {
 		if r, ok := f.(*almondstep.ReplyNews); ok {
 			return r.News
 		}
@@ -54,3 +56,46 @@
 		t.Errorf("after a whole reading: got %+v, want the removal of u2", got.Entries)
 	}
 }
+
+// A change of a long entry is told as a patch to who holds a former edition of it
+// that is known here, and whole to all others.
+func TestLongEntryIsPatched(t *testing.T) {
+	edition := func(n int) string {
+		var b strings.Builder
+		fmt.Fprintf(&b, `{"version": %d, "routes": [`, n)
+		for i := range 200 {
+			fmt.Fprintf(&b, `{"name": "route%d", "service": "s%d", "timeout": %d},`, i, i, 100+n*(i%100/99))
+		}
+		return b.String() + `{"name": "last"}]}`
+	}
+	w := watcher.New(watcher.Config{Self: "d1", Zone: "a"})
+	for n := 1; n <= 3; n++ {
+		e := almondstep.RegistryEntry{Key: "routes", Revision: uint64(10 * n), Value: edition(n)}
+		w.Reduce(almondstep.Instant(time.Second), &almondstep.RegistryRead{Whole: n == 1, Changes: &almondstep.RegistryChanges{
+			Revision: e.Revision, Entries: []almondstep.RegistryEntry{e},
+		}}, nil)
+	}
+	for _, c := range []struct {
+		holds uint64
+		whole bool
+	}{{10, false}, {20, false}, {15, true}, {0, true}} {
+		q := almondstep.NewsQuestion{After: 20, Holds: []almondstep.RegistryEntry{{Key: "routes", Revision: c.holds}}}
+		out := w.Reduce(almondstep.Instant(time.Second), &almondstep.NewsAsked{Call: 1, Question: q}, nil)
+		entries := out[0].(*almondstep.ReplyNews).News.Entries
+		if got, want := len(entries), 1; got != want {
+			t.Fatalf("got %d entries, want %d", got, want)
+		}
+		if got, want := entries[0].Base == 0, c.whole; got != want {
+			t.Errorf("holds %d: got whole %v, want %v", c.holds, got, want)
+		}
+		if most := len(edition(3)) / 10; !c.whole && len(entries[0].Value) > most {
+			t.Errorf("holds %d: got %d bytes, want at most %d", c.holds, len(entries[0].Value), most)
+		}
+		if !c.whole {
+			q.Holds[0].Value = edition(int(c.holds / 10))
+			if err := patcher.ApplyEntries(q.Holds, entries); err != nil || entries[0].Value != edition(3) {
+				t.Errorf("holds %d: got another text and %v", c.holds, err)
+			}
+		}
+	}
+}
--- a/watcher/news.go
+++ b/watcher/news.go
@@ -1,19 +1,23 @@
 package watcher
 
-import "almondstep"
+import (
+	"slices"
+
+	"almondstep"
+)
 
 // asker is another daemon that waits for news.
 type asker struct {
-	call  almondstep.CallID
-	after uint64
-	until almondstep.Instant
+	call     almondstep.CallID
+	question almondstep.NewsQuestion
+	until    almondstep.Instant
 }
 
 // asked answers another daemon at once if there is something to say, and else
 // when there is, the registry's word is confirmed anew, or its wait is over.
 func (w *Watcher) asked(now almondstep.Instant, e *almondstep.NewsAsked, out []almondstep.Effect) []almondstep.Effect {
-	a := asker{call: e.Call, after: e.After, until: now.Add(e.Wait)}
-	if w.revision > e.After || e.Wait <= 0 {
+	a := asker{call: e.Call, question: e.Question, until: now.Add(e.Question.Wait)}
+	if w.revision > e.Question.After || e.Question.Wait <= 0 {
 		return w.tell(now, a, out)
 	}
 	w.askers = append(w.askers, a)
@@ -22,7 +26,7 @@
 
 // tell answers one daemon.
 func (w *Watcher) tell(now almondstep.Instant, a asker, out []almondstep.Effect) []almondstep.Effect {
-	return append(out, &almondstep.ReplyNews{Call: a.call, News: w.newsSince(now, a.after)})
+	return append(out, &almondstep.ReplyNews{Call: a.call, News: w.newsFor(now, a.question)})
 }
 
 // tellConfirmed answers all that wait once there is news, or the word is fresher
@@ -38,7 +42,7 @@
 	w.askers = nil
 	var behind []asker
 	for _, a := range waiting {
-		if a.after < w.revision {
+		if a.question.After < w.revision {
 			behind = append(behind, a)
 			continue
 		}
@@ -47,8 +51,8 @@
 	return w.tellAll(now, behind, out)
 }
 
-// newsSince is what this daemon knows beyond a revision.
-func (w *Watcher) newsSince(now almondstep.Instant, after uint64) almondstep.RegistryNews {
+// newsFor is what this daemon knows beyond what the asker does.
+func (w *Watcher) newsFor(now almondstep.Instant, q almondstep.NewsQuestion) almondstep.RegistryNews {
 	news := almondstep.RegistryNews{
 		Revision: w.revision,
 		LostAgo:  almondstep.AgeUnknown,
@@ -60,27 +64,33 @@
 	if w.failedAt != 0 {
 		news.LostAgo = now.Sub(w.failedAt)
 	}
-	if w.revision > after {
-		news.Entries, news.Whole = w.journal.since(after)
+	if w.revision > q.After {
+		news.Entries, news.Whole = w.journal.since(q.After)
+		w.journal.patch(news.Entries, q.Holds)
 	}
 	return news
 }
 
-// tellAll answers daemons. Nearly all of them know the same revision, so that their
-// news is the same.
+// tellAll answers daemons. Nearly all of them know the same, so that their news is
+// the same.
 func (w *Watcher) tellAll(now almondstep.Instant, to []asker, out []almondstep.Effect) []almondstep.Effect {
-	known := make(map[uint64]almondstep.RegistryNews)
-	for _, a := range to {
-		news, ok := known[a.after]
-		if !ok {
-			news = w.newsSince(now, a.after)
-			known[a.after] = news
+	var asked almondstep.NewsQuestion
+	var news almondstep.RegistryNews
+	for i, a := range to {
+		if i == 0 || !sameKnowledge(a.question, asked) {
+			asked, news = a.question, w.newsFor(now, a.question)
 		}
 		out = append(out, &almondstep.ReplyNews{Call: a.call, News: news})
 	}
 	return out
 }
 
+// sameKnowledge says that two daemons that ask know the same.
+func sameKnowledge(a, b almondstep.NewsQuestion) bool {
+	same := func(x, y almondstep.RegistryEntry) bool { return x.Key == y.Key && x.Revision == y.Revision }
+	return a.After == b.After && slices.EqualFunc(a.Holds, b.Holds, same)
+}
+
 // tellDue answers those whose wait is over.
 func (w *Watcher) tellDue(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	kept := w.askers[:0]
--- a/watcher/reading.go
+++ b/watcher/reading.go
@@ -135,11 +135,14 @@
 // ask sends a question.
 func (w *Watcher) ask(s source, wait time.Duration, out []almondstep.Effect) []almondstep.Effect {
 	w.readings.open[s.id] = true
-	after := w.revision
+	q := almondstep.NewsQuestion{After: w.revision, Wait: wait}
 	if s == registry() && w.reread {
-		after = 0
+		q.After = 0
 	}
-	return append(out, &almondstep.ReadRegistry{After: after, Wait: wait, From: s.id, Addr: s.addr})
+	if s != registry() {
+		q.Holds = w.journal.long()
+	}
+	return append(out, &almondstep.ReadRegistry{NewsQuestion: q, From: s.id, Addr: s.addr})
 }
 
 // read takes in what was read, or that nothing could be, and asks on.
