Hand shards that only other regions hold to one daemon there

A third of the shards have no upstream in the caller's region: each sent its whole part across. Now a daemon of the region where most of these shards have an upstream asks them, as it asks for its own requests, and sends the greatest records and the signatures back, once. What certainly hasn't run there is asked from here; a part that may have run isn't asked twice.

--- a/directory.go
+++ b/directory.go
@@ -32,6 +32,7 @@
 	daemons   int
 	gatherers int
 	delegates []Delegate
+	helpers   map[RegionName][]Delegate
 }
 
 // DirectoryParts is what a directory is made of.
@@ -46,6 +47,8 @@
 	Gatherers int
 	// Delegates are those of the own zone, if this daemon isn't one itself.
 	Delegates []Delegate
+	// Helpers are the daemons of each other region that ask its upstreams for others.
+	Helpers map[RegionName][]Delegate
 }
 
 // NewDirectory freezes the parts. The caller must not change them after.
@@ -56,6 +59,7 @@
 		daemons:   max(1, p.Daemons),
 		gatherers: p.Gatherers,
 		delegates: p.Delegates,
+		helpers:   p.Helpers,
 	}
 	if d.gatherers <= 0 || d.gatherers > d.daemons {
 		d.gatherers = d.daemons
@@ -83,3 +87,10 @@
 // Delegates are the daemons to which this one hands requests over shards; empty
 // if it asks the shards itself. The caller must not change it.
 func (d *Directory) Delegates() []Delegate { return d.delegates }
+
+// Helpers are the daemons of another region to which this one may hand the shards
+// whose upstreams stand there. The caller must not change it.
+func (d *Directory) Helpers(region RegionName) []Delegate { return d.helpers[region] }
+
+// HelperRegions has the helpers of all regions. The caller must not change it.
+func (d *Directory) HelperRegions() map[RegionName][]Delegate { return d.helpers }
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -67,15 +67,21 @@
 	}
 	r.trace.Missing = nil
 	f.requests[r.id] = r
+	f.handPart(now, r, &out)
 	for i := range r.shards {
-		f.budget.Need(now, r.shards[i].service)
-		if !f.send(now, r, i, &out) {
-			r.giveUp(i, almondstep.CallRefused)
-		}
+		f.first(now, r, i, &out)
 	}
 	return f.proceed(now, r, out)
 }
 
+// first sends a shard's first call.
+func (f *Forwarder) first(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) {
+	f.budget.Need(now, r.shards[i].service)
+	if !f.send(now, r, i, out) {
+		r.giveUp(i, almondstep.CallRefused)
+	}
+}
+
 // reachable is the number of shards with an upstream that can be called.
 func (f *Forwarder) reachable(now almondstep.Instant, r *request) int {
 	n := 0
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -180,7 +180,7 @@
 	for i := range r.shards {
 		out = cancelOthers(r, &r.shards[i], 0, out)
 	}
-	return f.forget(r, f.dropHanded(now, r, out))
+	return f.forget(r, f.dropHelp(now, r, f.dropHanded(now, r, out)))
 }
 
 // forget drops a request that is answered and has no calls out.
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -75,6 +75,9 @@
 // caller is told so, since asking all shards twice would use up the retry budget.
 func (f *Forwarder) gatherEnded(now almondstep.Instant, e *almondstep.GatherEnded, out []almondstep.Effect) []almondstep.Effect {
 	r := f.requests[e.ID]
+	if r != nil && r.help != nil && r.help.call == e.Call && !r.help.ended {
+		return f.helped(now, r, e, out)
+	}
 	if r == nil || r.handed == nil || r.handed.call != e.Call {
 		return out
 	}
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -33,9 +33,9 @@
 	switch {
 	case r.handed != nil && now < r.deadline:
 		return r.arm(now, out)
-	case r.open == 0, now >= r.deadline:
+	case r.open+r.help.pending() == 0, now >= r.deadline:
 	case now >= r.answerBy && r.gathers() && r.covers(included):
-	case r.gathers() && !r.covers(included+r.open):
+	case r.gathers() && !r.covers(included+r.open+r.help.pending()):
 		// What is still out can't make the answer whole enough.
 	default:
 		return r.arm(now, out)
@@ -66,6 +66,7 @@
 	reply := r.reply(now, included)
 	reply.Trace = r.traced(now, included, reply.Outcome)
 	out = f.dropHanded(now, r, out)
+	out = f.dropHelp(now, r, out)
 	return f.answer(r, reply, out)
 }
 
@@ -105,7 +106,7 @@
 func (r *request) merged(included int) *almondstep.Reply {
 	m := &almondstep.MergedAnswer{
 		Signatures: make([]string, 0, included),
-		Missing:    len(r.shards) - included,
+		Missing:    r.total() - included,
 	}
 	parts := make([][]byte, 0, included)
 	for i := range r.shards {
@@ -114,6 +115,10 @@
 			m.Signatures = append(m.Signatures, p.Signature)
 		}
 	}
+	if r.help.included() > 0 {
+		parts = append(parts, r.help.merged.Records)
+		m.Signatures = append(m.Signatures, r.help.merged.Signatures...)
+	}
 	m.Records = merger.Greatest(r.route.Records(), parts...)
 	outcome := almondstep.OutcomeComplete
 	if m.Missing > 0 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,8 @@
 		return f.callEnded(now, e, out)
 	case *almondstep.GatherEnded:
 		return f.gatherEnded(now, e, out)
+	case *almondstep.WayMeasured:
+		f.measured(now, e)
 	case *almondstep.RequestTimer:
 		return f.timer(now, e.ID, out)
 	case *almondstep.RequesterGone:
@@ -75,7 +77,7 @@
 		if d := v.Directory(); d != nil && d != f.directory {
 			f.directory = d
 			f.picker.Keep(d)
-			f.mates.keep(d.Delegates())
+			f.mates.keep(d)
 		}
 	}
 	return out
--- a/forwarder/mates.go
+++ b/forwarder/mates.go
@@ -28,6 +28,34 @@
 	out       map[almondstep.CallID]almondstep.Instant
 	backoff   time.Duration
 	downUntil almondstep.Instant
+	// way is what a message to it and its answer need, as of measuredAt; 0 if that
+	// isn't known. measuring says that it is being measured.
+	way        time.Duration
+	measuredAt almondstep.Instant
+	measuring  bool
+}
+
+const (
+	// wayHolds is how long what was measured of the way to a daemon counts, and
+	// wayRetry how long after a failure it isn't measured again.
+	wayHolds = time.Minute
+	wayRetry = 2 * time.Second
+)
+
+// near says that the way to a daemon is known; else it may have to be measured.
+func (s *mate) near(now almondstep.Instant) (known, measure bool) {
+	if s.way > 0 && now.Sub(s.measuredAt) < wayHolds {
+		return true, false
+	}
+	tried := s.measuredAt != 0 && s.way == 0 && now.Sub(s.measuredAt) < wayRetry
+	return false, !s.measuring && !tried
+}
+
+// measured takes in the way to a daemon, 0 if it gave no answer.
+func (s *mate) measured(now almondstep.Instant, way time.Duration) {
+	s.measuring = false
+	s.measuredAt = now
+	s.way = way
 }
 
 func (m *mates) seen(id almondstep.DaemonID) *mate {
@@ -92,6 +120,8 @@
 		s.backoff, s.downUntil = 0, 0
 		return 0
 	}
+	// Whether it lives is found before the next request.
+	s.way, s.measuredAt = 0, now
 	s.backoff = min(max(mateBackoff, 2*s.backoff), mostMateBackoff)
 	s.downUntil = now.Add(s.backoff)
 	return s.backoff
@@ -107,14 +137,19 @@
 	return 0
 }
 
-// keep forgets the daemons that are no delegates any more.
-func (m *mates) keep(among []almondstep.Delegate) {
-	for id, s := range m.all {
-		listed := false
-		for _, d := range among {
-			listed = listed || d.ID == id
+// keep forgets the daemons to which nothing is handed any more.
+func (m *mates) keep(d *almondstep.Directory) {
+	listed := make(map[almondstep.DaemonID]bool)
+	for _, mate := range d.Delegates() {
+		listed[mate.ID] = true
+	}
+	for _, helpers := range d.HelperRegions() {
+		for _, mate := range helpers {
+			listed[mate.ID] = true
 		}
-		if !listed && len(s.out) == 0 {
+	}
+	for id, s := range m.all {
+		if !listed[id] && len(s.out) == 0 {
 			delete(m.all, id)
 		}
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -31,6 +31,8 @@
 	// those that were asked.
 	handed   *handed
 	handedTo []almondstep.DaemonID
+	// help is the part that another region's daemon answers, if there is one.
+	help *help
 	// timerAt is when the armed timer comes due; 0 if none is armed.
 	timerAt almondstep.Instant
 	trace   almondstep.RequestTrace
@@ -105,6 +107,9 @@
 }
 
 func (r *request) mayHaveRun() bool {
+	if r.help != nil {
+		return true
+	}
 	for i := range r.shards {
 		if r.shards[i].mayHaveRun() {
 			return true
@@ -121,7 +126,7 @@
 			n++
 		}
 	}
-	return n
+	return n + r.help.included()
 }
 
 // roundingSlack forgives the rounding of a share that operators wrote in
@@ -130,7 +135,7 @@
 
 // covers says that so many shards are enough for an answer.
 func (r *request) covers(included int) bool {
-	return included > 0 && float64(included) >= r.route.LeastCoverage()*float64(len(r.shards))-roundingSlack
+	return included > 0 && float64(included) >= r.route.LeastCoverage()*float64(r.total())-roundingSlack
 }
 
 const (
--- a/message_delegate.go
+++ b/message_delegate.go
@@ -44,6 +44,26 @@
 	Err    string `json:"err,omitempty"`
 }
 
+// MeasureWay asks how long a message to another daemon and its answer need. The
+// outcome comes back as WayMeasured. It also opens the connection.
+type MeasureWay struct {
+	To Delegate `json:"to"`
+}
+
+// WayMeasured brings the outcome of a MeasureWay.
+type WayMeasured struct {
+	To   DaemonID      `json:"to"`
+	Took time.Duration `json:"took"`
+	// Err says why nothing was measured; empty if it was.
+	Err string `json:"err,omitempty"`
+}
+
+// Kind names the event.
+func (*WayMeasured) Kind() string { return "wayMeasured" }
+
+// Kind names the effect.
+func (*MeasureWay) Kind() string { return "measureWay" }
+
 // Query says which request the event is for.
 func (e *GatherEnded) Query() QueryID { return e.ID }
 
--- a/runner/delegates.go
+++ b/runner/delegates.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,6 +28,30 @@
 	})
 }
 
+// measureTimeout bounds the measuring of a way.
+const measureTimeout = time.Second
+
+// measureWay asks for news that can't be there, twice: the first question may open a
+// connection.
+func (t *thread) measureWay(f *almondstep.MeasureWay) {
+	r := t.runner
+	r.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, measureTimeout)
+		defer cancel()
+		e := &almondstep.WayMeasured{To: f.To.ID}
+		nothing := &almondstep.NewsQuestion{After: math.MaxUint64}
+		for range 2 {
+			began := time.Now()
+			if _, err := r.Mates.News(ctx, f.To.Addr, nothing); err != nil {
+				e.Err = err.Error()
+				break
+			}
+			e.Took = time.Since(began)
+		}
+		t.push(e)
+	})
+}
+
 // Gather answers a request over shards that another daemon hands over. A daemon
 // that is about to stop refuses it.
 func (r *Runner) Gather(ctx context.Context, ask *almondstep.GatherAsked) (*almondstep.Reply, error) {
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -27,31 +27,42 @@
 		t.startAttempt(f)
 	case *almondstep.CancelAttempt:
 		t.calls.cancel(f.Addr, f.Call)
-	case *almondstep.SendWork:
-		t.sendWork(f)
-	case *almondstep.SendCollect:
-		t.sendCollect(f)
-	case *almondstep.SendCancel:
-		t.sendCancel(f)
 	case *almondstep.ReplyWork:
 		t.replyWork(f)
 	case *almondstep.ReplyCaller:
 		t.replyCaller(f)
 	case *almondstep.ClaimKey:
 		t.claimKey(f)
-	case *almondstep.SendGather:
-		t.sendGather(f)
 	case *almondstep.SendCall:
 		t.sendCall(f)
 	case *almondstep.CancelCall:
 		t.cancelCall(f)
 	case *almondstep.ReplyRequest:
 		t.replyRequest(f)
+	case *almondstep.SendWork, *almondstep.SendCollect, *almondstep.SendCancel,
+		*almondstep.SendGather, *almondstep.MeasureWay:
+		t.sendMessage(f)
 	default:
 		t.performTimer(f)
 	}
 }
 
+// sendMessage sends what goes to another daemon.
+func (t *thread) sendMessage(f almondstep.Effect) {
+	switch f := f.(type) {
+	case *almondstep.SendWork:
+		t.sendWork(f)
+	case *almondstep.SendCollect:
+		t.sendCollect(f)
+	case *almondstep.SendCancel:
+		t.sendCancel(f)
+	case *almondstep.SendGather:
+		t.sendGather(f)
+	case *almondstep.MeasureWay:
+		t.measureWay(f)
+	}
+}
+
 func (t *thread) performTimer(f almondstep.Effect) {
 	r := t.runner
 	switch f := f.(type) {
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -228,6 +228,7 @@
 		Daemons:   w.shared,
 		Gatherers: gatherers,
 		Delegates: w.delegates(gatherers),
+		Helpers:   w.helpers(gatherers),
 	})
 	return w.publishAge(out)
 }
--- a/watcher/delegates.go
+++ b/watcher/delegates.go
@@ -35,11 +35,8 @@
 // Example: 13 of 78 daemons are in the zone, and 30 may ask shards: the 5 with the
 // most cores do, if the fifth has at least half as many as the first.
 func (w *Watcher) delegates(gatherers int) []almondstep.Delegate {
-	zone := w.zoneBySize()
-	n := max(leastGatherers, gatherers*len(zone)/w.sharing())
-	for n > leastGatherers && n <= len(zone) && zone[n-1].Cores*smallest < zone[0].Cores {
-		n--
-	}
+	zone := w.zoneBySize(w.cfg.Zone)
+	n := w.askersOf(zone, gatherers)
 	if n >= len(zone) {
 		return nil
 	}
@@ -52,11 +49,35 @@
 	return zone
 }
 
-// zoneBySize lists the daemons of the own zone that can be asked, and this one, the
-// largest first.
-func (w *Watcher) zoneBySize() []almondstep.Delegate {
+// askersOf is the number of a zone's daemons that ask shards for all of it.
+func (w *Watcher) askersOf(zone []almondstep.Delegate, gatherers int) int {
+	n := max(leastGatherers, gatherers*len(zone)/w.sharing())
+	for n > leastGatherers && n <= len(zone) && zone[n-1].Cores*smallest < zone[0].Cores {
+		n--
+	}
+	return min(n, len(zone))
+}
+
+// helpers are the daemons of each other region that ask the shards there.
+func (w *Watcher) helpers(gatherers int) map[almondstep.RegionName][]almondstep.Delegate {
+	own := w.cfg.Regions[w.cfg.Zone]
+	helpers := make(map[almondstep.RegionName][]almondstep.Delegate)
+	for _, name := range w.zones() {
+		region := w.cfg.Regions[name]
+		if region == own || region == "" {
+			continue
+		}
+		zone := w.zoneBySize(name)
+		helpers[region] = append(helpers[region], zone[:w.askersOf(zone, gatherers)]...)
+	}
+	return helpers
+}
+
+// zoneBySize lists the daemons of a zone that can be asked, and this one in its own,
+// the largest first.
+func (w *Watcher) zoneBySize(name almondstep.ZoneName) []almondstep.Delegate {
 	var zone []almondstep.Delegate
-	for _, id := range w.order(w.cfg.Zone) {
+	for _, id := range w.order(name) {
 		d := almondstep.Delegate{ID: id, Cores: w.cores(id)}
 		if id != w.cfg.Self {
 			d.Addr = w.daemons[id].addr
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -33,6 +33,8 @@
 type Config struct {
 	Self almondstep.DaemonID
 	Zone almondstep.ZoneName
+	// Regions has the region of each zone; nil if that isn't known.
+	Regions map[almondstep.ZoneName]almondstep.RegionName
 	// Cores is the processor time that this daemon's VM has, in cores.
 	Cores float64
 	// Bound is the time within which what the registry says must be known here;
