--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -16,17 +16,19 @@
 
 // world plays the upstreams and the clock around a forwarder.
 type world struct {
-	t       *testing.T
-	f       *forwarder.Forwarder
-	view    *almondstep.View
-	now     almondstep.Instant
-	sent    map[almondstep.CallID]*almondstep.SendCall
-	order   []*almondstep.SendCall
-	handed  []*almondstep.SendGather
-	cancels map[almondstep.CallID]time.Duration
-	timers  map[almondstep.QueryID][]almondstep.Instant
-	replies map[almondstep.QueryID]*almondstep.Reply
-	at      map[almondstep.QueryID]almondstep.Instant
+	t      *testing.T
+	f      *forwarder.Forwarder
+	view   *almondstep.View
+	now    almondstep.Instant
+	sent   map[almondstep.CallID]*almondstep.SendCall
+	order  []*almondstep.SendCall
+	handed []*almondstep.SendGather
+	// measures counts the ways that were asked for.
+	measures int
+	cancels  map[almondstep.CallID]time.Duration
+	timers   map[almondstep.QueryID][]almondstep.Instant
+	replies  map[almondstep.QueryID]*almondstep.Reply
+	at       map[almondstep.QueryID]almondstep.Instant
 }
 
 func bounds() forwarder.Config {
@@ -59,6 +61,8 @@
 			w.order = append(w.order, f)
 		case *almondstep.SendGather:
 			w.handed = append(w.handed, f)
+		case *almondstep.MeasureWay:
+			w.measures++
 		case *almondstep.CancelCall:
 			w.cancels[f.Call] = f.After
 		case *almondstep.SetRequestTimer:
