--- a/forwarder/region_test.go
+++ b/forwarder/region_test.go
@@ -167,6 +167,24 @@
 	}
 }
 
+// A request whose every call from here was refused may still have run at the helper.
+func TestOnlyTheHelperMayHaveRun(t *testing.T) {
+	w := helping(t, 250*time.Millisecond, func(p *almondstep.RouteParts) { p.LeastCoverage = 0.5 })
+	w.measure(almondstep.WayMeasured{Took: helperWay})
+	w.ask(1, "/search/x")
+	for len(w.sent) > 0 {
+		for _, c := range w.order {
+			if w.sent[c.Call] != nil {
+				w.end(c, almondstep.CallRefused, "")
+			}
+		}
+	}
+	w.advance(2 * time.Second)
+	if r := w.replies[1]; r == nil || r.Outcome == almondstep.OutcomeNotRun {
+		t.Errorf("got %+v, want an answer that promises nothing", r)
+	}
+}
+
 // A helper that says nothing costs no more than the request's time; what came too
 // late is dropped.
 func TestHelperIsSilent(t *testing.T) {
