--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -8,6 +8,7 @@
 //
 //	RequestArrived -> SendGather, SetRequestTimer -> GatherEnded -> ReplyRequest
 //	RequestArrived -> SendCall ... SendCall, SetRequestTimer
+//	RequestArrived -> SendGather and SendCall ... -> GatherEnded, CallEnded -> ReplyRequest
 //	CallEnded      -> (another SendCall) -> ReplyRequest
 //	RequestTimer   -> hedges, then ReplyRequest with the parts that are in
 //
--- a/forwarder/region.go
+++ b/forwarder/region.go
@@ -86,6 +86,7 @@
 	r.shards = slices.DeleteFunc(r.shards, func(s shard) bool { return slices.Contains(far, s.service) })
 	r.open = len(r.shards)
 	r.out++
+	r.trace.Helper = to.ID
 	f.mates.sent(now, to.ID, f.lastCall)
 	*out = append(*out, &almondstep.SendGather{ID: r.id, Call: f.lastCall, To: to, Ask: almondstep.GatherAsked{
 		Request:   r.message,
--- a/message_request.go
+++ b/message_request.go
@@ -175,6 +175,9 @@
 	Version RouteVersion `json:"version"`
 	// Delegate is the daemon that asked the shards, if it was another one.
 	Delegate DaemonID `json:"delegate,omitempty"`
+	// Helper is the daemon of another region that was asked for the shards there;
+	// empty if none was.
+	Helper   DaemonID `json:"helper,omitempty"`
 	Shards   int      `json:"shards"`
 	Included int      `json:"included"`
 	Calls    int      `json:"calls"`
