--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -298,18 +298,10 @@
 // A request that is handed over arrives with every field, and so does its answer;
 // a refusal says that nothing has run.
 func TestHandOverSurvivesTheWire(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	d := &delegate{}
-	s := &messenger.Server{Gatherer: d}
-	s.Init()
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
+	addr := serveGatherer(t, d)
 	ask := handedOver(t)
 	c := &messenger.Client{}
-	addr := almondstep.Address(l.Addr().String())
 	got, err := c.Gather(t.Context(), addr, ask)
 	if err != nil {
 		t.Fatal(err)
@@ -328,6 +320,20 @@
 	}
 }
 
+// serveGatherer serves a delegate and gives its address.
+func serveGatherer(t *testing.T, g almondstep.GatherServer) almondstep.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &messenger.Server{Gatherer: g}
+	s.Init()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return almondstep.Address(l.Addr().String())
+}
+
 func handedOver(t *testing.T) *almondstep.GatherAsked {
 	t.Helper()
 	parts := *filled[almondstep.RouteParts]()
@@ -387,15 +393,7 @@
 func TestHandOverIsWaitedFor(t *testing.T) {
 	for name, lose := range map[string]bool{"answered": false, "lost": true} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &messenger.Server{Gatherer: slowDelegate{lose: lose}}
-			s.Init()
-			go s.Serve(l)
-			t.Cleanup(func() { s.Close() })
-			_, err = (&messenger.Client{}).Gather(t.Context(), almondstep.Address(l.Addr().String()), handedOver(t))
+			_, err := (&messenger.Client{}).Gather(t.Context(), serveGatherer(t, slowDelegate{lose: lose}), handedOver(t))
 			if lose && (err == nil || errors.Is(err, almondstep.ErrNotRun)) {
 				t.Errorf("got %v, want an error that promises nothing", err)
 			}
@@ -421,21 +419,14 @@
 
 // What a delegate is told to be left is what is left when the request is sent.
 func TestHandOverTellsWhatIsLeft(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	d := &delegate{}
-	s := &messenger.Server{Gatherer: d}
-	s.Init()
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
+	addr := serveGatherer(t, d)
 	ask := handedOver(t)
 	ctx, cancel := context.WithTimeout(t.Context(), ask.Remaining)
 	defer cancel()
 	const waited = 300 * time.Millisecond
 	time.Sleep(waited)
-	if _, err := (&messenger.Client{}).Gather(ctx, almondstep.Address(l.Addr().String()), ask); err != nil {
+	if _, err := (&messenger.Client{}).Gather(ctx, addr, ask); err != nil {
 		t.Fatal(err)
 	}
 	if got, most := d.asked.Remaining, ask.Remaining-waited; got > most {
--- a/watcher/reading.go
+++ b/watcher/reading.go
@@ -24,12 +24,14 @@
 	returnEvery = 2 * time.Second
 )
 
-// readings are the questions that are out, and what earlier ones have shown.
+// readings are the questions that are out, and what earlier ones have shown. One
+// source is followed: it is asked again and again, and tells of changes as they come.
+// Others are asked once, without waiting, to find a better one or a fresher word.
 type readings struct {
 	// open has the sources that have not answered yet.
 	open map[almondstep.DaemonID]bool
-	// following is the source that tells of changes as they come, if there is one;
-	// waiting says that a question to it is out.
+	// following is the source that is followed, if follows; waiting says that a
+	// question to it is out.
 	following source
 	follows   bool
 	waiting   bool
@@ -204,8 +206,8 @@
 		return out
 	}
 	if e.Teller != nil && e.Teller.Source == w.cfg.Self && e.Teller.Revision == w.revision {
-		// It reads from here: what it knows is no news. It is if this daemon has
-		// started anew.
+		// It reads from here and knows no more. One that knows more is heard even so:
+		// this daemon may have started anew.
 		w.leave(now, e.From, leastPause)
 		return out
 	}
@@ -238,6 +240,7 @@
 	if r.follows && !overdue && !w.better(e.From) {
 		return out
 	}
+	// The registry has no id and no address, and a seed's id is its address.
 	r.following = seed(almondstep.Address(e.From))
 	if d, known := w.daemons[e.From]; known {
 		r.following.addr = d.addr
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -184,7 +184,8 @@
 }
 
 // beat is the time between two confirmations in calm times: each daemon hears the
-// registry's word once a beat, itself or through others.
+// registry's word once a beat, itself or through others. A beat that is missed leaves
+// as much time again to find the word elsewhere.
 func (w *Watcher) beat() time.Duration { return w.cfg.Bound / 2 }
 
 // lateAfter is the age from which on the word is overdue, while there is still time
