A daemon that starts doesn't take a word that is old at once

What operators of similar systems told: after a restart, a server that had left was in use again. A first word that is older than the bound is now refused for one beat, in which a fresh one is found if anybody has it. In an outage the start takes that beat longer where only old words are to be had.

--- a/watcher/boot.go
+++ b/watcher/boot.go
@@ -22,7 +22,8 @@
 
 // boot is the state of a daemon that knows nothing yet.
 type boot struct {
-	began bool
+	began   bool
+	beganAt almondstep.Instant
 	// listing says that the list of daemons is being read.
 	listing bool
 	listAt  almondstep.Instant
@@ -37,7 +38,7 @@
 func (w *Watcher) start(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	b := &w.boot
 	if !b.began {
-		b.began = true
+		b.began, b.beganAt = true, now
 		b.until = now.Add(listPatience)
 	}
 	if _, listed := w.daemons[w.cfg.Self]; !b.done && (listed || now >= b.until) {
@@ -97,6 +98,14 @@
 	return w.keepReading(now, out)
 }
 
+// refuses says that a word which is old isn't taken yet, for as long as a fresh one
+// should take to be found: servers that have left since, or routes that were
+// withdrawn, would be in use again after this daemon's start. In an outage there is
+// nothing better in the end.
+func (b *boot) refuses(now almondstep.Instant, old bool, long time.Duration) bool {
+	return old && now.Sub(b.beganAt) < long
+}
+
 // mayReadAll says that a daemon which nobody tells may read all of the registry.
 func (b *boot) mayReadAll(now almondstep.Instant, rank int) bool {
 	return now.Sub(b.doneAt) > tellPatience+time.Duration(rank)*tellPerMember
--- a/watcher/reading.go
+++ b/watcher/reading.go
@@ -211,6 +211,11 @@
 		w.leave(now, e.From, leastPause)
 		return out
 	}
+	if w.revision == 0 && e.Teller != nil && w.boot.refuses(now, e.Teller.Age > w.cfg.Bound, w.beat()) {
+		w.readings.cause = "the word of " + nameOf(e.From) + " is old"
+		w.leave(now, e.From, leastPause)
+		return out
+	}
 	before := w.confirmedAt
 	w.confirm(now, e)
 	out = w.takeIn(now, e, out)
--- a/watcher/tree_test.go
+++ b/watcher/tree_test.go
@@ -312,3 +312,27 @@
 	}
 	return 0
 }
+
+// A daemon that starts doesn't use what another one has known for long, if somebody
+// may know more: servers that have left since would be in use again.
+func TestStartDoesNotTakeOldWord(t *testing.T) {
+	f := newTree(t, 1, 2, 3)
+	started := almondstep.DaemonID("z0-s1")
+	parent := f.ids[0]
+	f.deaf[parent], f.cut[parent] = true, true
+	f.run(3 * watcher.DefaultBound)
+	f.write("u1", false)
+	f.write("u0", true)
+	f.run(watcher.DefaultBound)
+	// The parent hears and is heard again at the moment at which the other one starts.
+	f.deaf[parent], f.cut[parent] = false, false
+	f.restart(started)
+	for range 100 {
+		f.run(10 * time.Millisecond)
+		if slices.Contains(f.upstreams(started), "u0") {
+			t.Fatal("got an upstream in use that has left")
+		}
+	}
+	f.run(watcher.DefaultBound)
+	f.wantKnown("after the start", "u1")
+}
