Hand over, note the end and give up in one way; smaller state in the tree's code

Where a daemon is asked was put together in three places (watcher: sourceOf). One pass over those who wait for news in place of two branches; a mate's two answers are two methods; defaults by cmp.Or.

--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -17,6 +17,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -75,20 +76,13 @@
 
 func (c *Client) init() {
 	c.once.Do(func() {
-		if c.DialTimeout == 0 {
-			c.DialTimeout = DefaultDialTimeout
-		}
-		if c.IdleTimeout == 0 {
-			c.IdleTimeout = DefaultIdleTimeout
-		}
-		if c.MaxAnswerBytes == 0 {
-			c.MaxAnswerBytes = DefaultMaxAnswerBytes
-		}
-		if c.MaxPartBytes == 0 {
-			c.MaxPartBytes = DefaultMaxPartBytes
-		}
-		if c.MaxHeldBytes == 0 {
-			c.MaxHeldBytes = DefaultMaxHeldBytes
+		c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+		c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+		c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+		c.MaxPartBytes = cmp.Or(c.MaxPartBytes, DefaultMaxPartBytes)
+		c.MaxHeldBytes = cmp.Or(c.MaxHeldBytes, DefaultMaxHeldBytes)
+		if c.Logger == nil {
+			c.Logger = hclog.NewNullLogger()
 		}
 		c.held.left = c.MaxHeldBytes
 		if c.Logger == nil {
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -38,23 +38,43 @@
 	if !ok {
 		return false
 	}
-	f.lastCall++
-	r.handed = &handed{call: f.lastCall, to: to.ID}
+	call := f.sendGather(now, r, to, r.handedRoute(now), r.deadline.Sub(now)-hop+replyTime, out)
+	r.handed = &handed{call: call, to: to.ID}
 	r.handedTo = append(r.handedTo, to.ID)
+	return true
+}
+
+// sendGather hands a request, or a part of one, to another daemon.
+func (f *Forwarder) sendGather(now almondstep.Instant, r *request, to almondstep.Delegate, route *almondstep.Route, remaining time.Duration, out *[]almondstep.Effect) almondstep.CallID {
+	f.lastCall++
 	r.out++
 	f.mates.sent(now, to.ID, f.lastCall)
-	*out = append(*out, &almondstep.SendGather{
-		ID:   r.id,
-		Call: f.lastCall,
-		To:   to,
-		Ask: almondstep.GatherAsked{
-			Request:   r.message,
-			Route:     r.handedRoute(now),
-			Version:   r.trace.Version,
-			Remaining: r.deadline.Sub(now) - hop + replyTime,
-		},
-	})
-	return true
+	*out = append(*out, &almondstep.SendGather{ID: r.id, Call: f.lastCall, To: to, Ask: almondstep.GatherAsked{
+		Request:   r.message,
+		Route:     route,
+		Version:   r.trace.Version,
+		Remaining: remaining,
+	}})
+	return f.lastCall
+}
+
+// noteEnded notes how a delegate or a helper answered.
+func (f *Forwarder) noteEnded(now almondstep.Instant, r *request, what string, to almondstep.DaemonID, e *almondstep.GatherEnded, out []almondstep.Effect) []almondstep.Effect {
+	r.out--
+	if away := f.mates.ended(now, to, e.Call, e.Reply != nil); away > 0 {
+		out = append(out, leftAlone(what, string(to), e.Err, r, away))
+	}
+	return out
+}
+
+// giveUpCall gives a call to a delegate or a helper up. One that has held it for
+// long may stand still, and is left alone.
+func (f *Forwarder) giveUpCall(now almondstep.Instant, r *request, what string, to almondstep.DaemonID, call almondstep.CallID, out []almondstep.Effect) []almondstep.Effect {
+	r.out--
+	if away := f.mates.dropped(now, to, call); away > 0 {
+		out = append(out, leftAlone(what, string(to), "no answer", r, away))
+	}
+	return append(out, &almondstep.CancelCall{ID: r.id, Call: call})
 }
 
 // handedRoute is the route with what is left of its latency target.
@@ -83,13 +103,9 @@
 	}
 	to := r.handed.to
 	r.handed = nil
-	r.out--
-	if away := f.mates.ended(now, to, e.Call, e.Reply != nil); away > 0 {
-		out = append(out, leftAlone("delegate", string(to), e.Err, r, away))
-	}
-	notRun := e.NotRun || e.Reply != nil && e.Reply.Outcome == almondstep.OutcomeNotRun
+	out = f.noteEnded(now, r, "delegate", to, e, out)
 	switch {
-	case notRun:
+	case e.HasNotRun():
 		if f.handOver(now, r, &out) {
 			return out
 		}
@@ -105,17 +121,12 @@
 	return f.answer(r, e.Reply, out)
 }
 
-// dropHanded gives a request's call to a delegate up. One that has held it for long
-// may stand still, and is left alone.
+// dropHanded gives a request's call to a delegate up.
 func (f *Forwarder) dropHanded(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
 	if r.handed == nil {
 		return out
 	}
 	h := r.handed
 	r.handed = nil
-	r.out--
-	if away := f.mates.dropped(now, h.to, h.call); away > 0 {
-		out = append(out, leftAlone("delegate", string(h.to), "no answer", r, away))
-	}
-	return append(out, &almondstep.CancelCall{ID: r.id, Call: h.call})
+	return f.giveUpCall(now, r, "delegate", h.to, h.call, out)
 }
--- a/forwarder/mates.go
+++ b/forwarder/mates.go
@@ -42,13 +42,15 @@
 	wayRetry = 2 * time.Second
 )
 
-// near says that the way to a daemon is known; else it may have to be measured.
-func (s *mate) near(now almondstep.Instant) (known, measure bool) {
-	if s.way > 0 && now.Sub(s.measuredAt) < wayHolds {
-		return true, false
-	}
-	tried := s.measuredAt != 0 && s.way == 0 && now.Sub(s.measuredAt) < wayRetry
-	return false, !s.measuring && !tried
+// wayKnown says that the way to a daemon was measured not long ago.
+func (s *mate) wayKnown(now almondstep.Instant) bool {
+	return s.way > 0 && now.Sub(s.measuredAt) < wayHolds
+}
+
+// toMeasure says that the way to a daemon is to be measured.
+func (s *mate) toMeasure(now almondstep.Instant) bool {
+	failed := s.measuredAt != 0 && s.way == 0 && now.Sub(s.measuredAt) < wayRetry
+	return !s.wayKnown(now) && !s.measuring && !failed
 }
 
 // measured takes in the way to a daemon, 0 if it gave no answer.
--- a/forwarder/region.go
+++ b/forwarder/region.go
@@ -69,10 +69,7 @@
 		return
 	}
 	helpers := r.directory.Helpers(region)
-	to, ok := f.mates.pick(now, helpers, func(id almondstep.DaemonID) bool {
-		known, _ := f.mates.seen(id).near(now)
-		return known
-	})
+	to, ok := f.mates.pick(now, helpers, func(id almondstep.DaemonID) bool { return f.mates.seen(id).wayKnown(now) })
 	f.measureOne(now, helpers, out)
 	if !ok {
 		return
@@ -81,26 +78,18 @@
 	if !ok {
 		return
 	}
-	f.lastCall++
-	r.help = &help{call: f.lastCall, to: to.ID, shards: far}
+	call := f.sendGather(now, r, to, route, r.deadline.Sub(now), out)
+	r.help = &help{call: call, to: to.ID, shards: far}
+	r.trace.Helper = to.ID
 	r.shards = slices.DeleteFunc(r.shards, func(s shard) bool { return slices.Contains(far, s.service) })
 	r.open = len(r.shards)
-	r.out++
-	r.trace.Helper = to.ID
-	f.mates.sent(now, to.ID, f.lastCall)
-	*out = append(*out, &almondstep.SendGather{ID: r.id, Call: f.lastCall, To: to, Ask: almondstep.GatherAsked{
-		Request:   r.message,
-		Route:     route,
-		Version:   r.trace.Version,
-		Remaining: r.deadline.Sub(now),
-	}})
 }
 
 // measureOne has the way to one of the helpers measured, if some isn't known.
 func (f *Forwarder) measureOne(now almondstep.Instant, helpers []almondstep.Delegate, out *[]almondstep.Effect) {
 	for _, to := range helpers {
 		s := f.mates.seen(to.ID)
-		if _, measure := s.near(now); measure {
+		if s.toMeasure(now) {
 			s.measuring = true
 			*out = append(*out, &almondstep.MeasureWay{To: to})
 			return
@@ -172,14 +161,11 @@
 func (f *Forwarder) helped(now almondstep.Instant, r *request, e *almondstep.GatherEnded, out []almondstep.Effect) []almondstep.Effect {
 	h := r.help
 	h.ended = true
-	r.out--
-	if away := f.mates.ended(now, h.to, e.Call, e.Reply != nil); away > 0 {
-		out = append(out, leftAlone("helper", string(h.to), e.Err, r, away))
-	}
+	out = f.noteEnded(now, r, "helper", h.to, e, out)
 	if r.answered {
 		return f.forget(r, out)
 	}
-	if e.NotRun || e.Reply != nil && e.Reply.Outcome == almondstep.OutcomeNotRun {
+	if e.HasNotRun() {
 		f.takeBack(now, r, &out)
 	} else if e.Reply != nil {
 		h.merged = e.Reply.Merged
@@ -205,9 +191,5 @@
 		return out
 	}
 	h.ended = true
-	r.out--
-	if away := f.mates.dropped(now, h.to, h.call); away > 0 {
-		out = append(out, leftAlone("helper", string(h.to), "no answer", r, away))
-	}
-	return append(out, &almondstep.CancelCall{ID: r.id, Call: h.call})
+	return f.giveUpCall(now, r, "helper", h.to, h.call, out)
 }
--- a/message_delegate.go
+++ b/message_delegate.go
@@ -44,6 +44,11 @@
 	Err    string `json:"err,omitempty"`
 }
 
+// HasNotRun says that the request certainly hasn't run at the delegate.
+func (e *GatherEnded) HasNotRun() bool {
+	return e.NotRun || e.Reply != nil && e.Reply.Outcome == OutcomeNotRun
+}
+
 // MeasureWay asks how long a message to another daemon and its answer need. The
 // outcome comes back as WayMeasured. It also opens the connection.
 type MeasureWay struct {
--- a/watcher/boot.go
+++ b/watcher/boot.go
@@ -88,14 +88,14 @@
 // readFirst reads all of the registry, or follows who does.
 func (w *Watcher) readFirst(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	r := &w.readings
-	if w.rank() < firstReaders && !r.waiting && r.free(now, registry()) {
-		r.following, r.follows, r.waiting = registry(), true, true
-		return w.ask(registry(), 0, out)
+	if w.rank() >= firstReaders {
+		return w.keepReading(now, out)
 	}
-	if w.rank() < firstReaders {
+	if r.waiting || !r.free(now, registry()) {
 		return out
 	}
-	return w.keepReading(now, out)
+	r.following, r.follows, r.waiting = registry(), true, true
+	return w.ask(registry(), 0, out)
 }
 
 // refuses says that a word which is old isn't taken yet, for as long as a fresh one
--- a/watcher/news.go
+++ b/watcher/news.go
@@ -33,22 +33,21 @@
 // than what they were told by a good part of a beat.
 func (w *Watcher) tellConfirmed(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	const goodPart = 4
-	waiting := w.askers
-	if w.confirmedAt.Sub(w.toldAt) >= w.beat()/goodPart {
+	fresher := w.confirmedAt.Sub(w.toldAt) >= w.beat()/goodPart
+	if fresher {
 		w.toldAt = w.confirmedAt
-		w.askers = nil
-		return w.tellAll(now, waiting, out)
 	}
-	w.askers = nil
-	var behind []asker
-	for _, a := range waiting {
-		if a.question.After < w.revision {
-			behind = append(behind, a)
+	var told []asker
+	kept := w.askers[:0]
+	for _, a := range w.askers {
+		if fresher || a.question.After < w.revision {
+			told = append(told, a)
 			continue
 		}
-		w.askers = append(w.askers, a)
+		kept = append(kept, a)
 	}
-	return w.tellAll(now, behind, out)
+	w.askers = kept
+	return w.tellAll(now, told, out)
 }
 
 // newsFor is what this daemon knows beyond what the asker does.
--- a/watcher/reading.go
+++ b/watcher/reading.go
@@ -245,11 +245,7 @@
 	if r.follows && !overdue && !w.better(e.From) {
 		return out
 	}
-	// The registry has no id and no address, and a seed's id is its address.
-	r.following = seed(almondstep.Address(e.From))
-	if d, known := w.daemons[e.From]; known {
-		r.following.addr = d.addr
-	}
+	r.following = w.sourceOf(e.From)
 	r.follows, r.waiting = true, false
 	r.returnAt = now.Add(returnEvery)
 	return append(out, w.report("registry is read", string(w.cfg.Self), "from "+nameOf(e.From), w.revision))
--- a/watcher/search.go
+++ b/watcher/search.go
@@ -70,7 +70,7 @@
 			if id == w.cfg.Self {
 				continue
 			}
-			if s := (source{id: id, addr: w.daemons[id].addr}); w.readings.free(now, s) && !w.follows(s) {
+			if s := w.sourceOf(id); w.readings.free(now, s) && !w.follows(s) {
 				free = append(free, s)
 			}
 		}
--- a/watcher/source.go
+++ b/watcher/source.go
@@ -38,7 +38,7 @@
 	l := sourceList{w: w}
 	zones := w.zones()
 	own := w.order(w.cfg.Zone)
-	rank := slices.Index(own, w.cfg.Self)
+	rank := w.rank()
 	leads := w.ranked(zones, 0)
 	if rank > 0 {
 		parent := (rank - 1) / fanOut
@@ -52,7 +52,7 @@
 	if rank == 0 && slices.Contains(zones[:first], w.cfg.Zone) {
 		l.add(registry())
 	}
-	l.addAll(leads[:min(first, len(leads))])
+	l.addAll(leads[:first])
 	l.add(registry())
 	l.addAll(own[:min(fanOut, len(own))])
 	l.addAll(leads)
@@ -71,6 +71,18 @@
 	return source{id: almondstep.DaemonID(addr), addr: addr}
 }
 
+// sourceOf is the source of an id: the registry, which has none, a daemon that is
+// known, or a seed.
+func (w *Watcher) sourceOf(id almondstep.DaemonID) source {
+	if id == "" {
+		return registry()
+	}
+	if d, known := w.daemons[id]; known {
+		return source{id: id, addr: d.addr}
+	}
+	return seed(almondstep.Address(id))
+}
+
 // sourceList collects sources, each once and none of this daemon itself.
 type sourceList struct {
 	w    *Watcher
@@ -86,7 +98,7 @@
 func (l *sourceList) addAll(ids []almondstep.DaemonID) {
 	for _, id := range ids {
 		if id != l.w.cfg.Self {
-			l.add(source{id: id, addr: l.w.daemons[id].addr})
+			l.add(l.w.sourceOf(id))
 		}
 	}
 }
