Show which requests had their upstreams end the connection

Observability for the incident of the crashing request. A call had the result broken whether the upstream closed the connection, reset it, or the daemon itself gave the connection up, and the log lines of a request that came again had nothing in common, since each attempt has an id of its own. So the logs couldn't tell the hypotheses apart.

CallEnded.Disconnected is now set if the upstream ended the connection between the request and the end of its response, also within the head or the body. A request's trace and log line name the upstream runs that did so and the request's fingerprint, which is the same for each repetition; almondstep_request_disconnects_total counts them by route. The fingerprint of the product's own search moved to the root package, so that it stands once. No decision changed. go test -race of exchanger, forwarder, recorder, server and platform passes.

--- a/directory.go
+++ b/directory.go
@@ -1,10 +1,19 @@
 package almondstep
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // UpstreamID identifies one run of an upstream process. The upstream chooses it.
 type UpstreamID string
 
+// UpstreamRun identifies one run of an upstream process, also if the upstream keeps its
+// ID when it restarts.
+//
+// Example: "i7@1700000000000" is upstream i7, started at that Unix millisecond.
+type UpstreamRun string
+
 // Upstream is one upstream server that the platform's registry lists.
 type Upstream struct {
 	ID UpstreamID
@@ -24,6 +33,14 @@
 	ColdFor time.Duration
 }
 
+// Run returns the identity of this run of the upstream.
+func (u *Upstream) Run() UpstreamRun {
+	if u.Started.IsZero() {
+		return UpstreamRun(u.ID)
+	}
+	return UpstreamRun(string(u.ID) + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10))
+}
+
 // Directory contains the routes from a daemon's registry cache and the upstreams
 // and daemons that serve them. It is immutable.
 type Directory struct {
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -19,7 +19,9 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,6 +121,7 @@
 	if n, err := cn.send(ctx, encodeRequest(call, c.HeaderCodec.RequestHeader(call, remainingUsefulFor(ctx, call)))); err != nil {
 		p.drop(cn)
 		ended.Result = failureResult(ctx, n > 0)
+		ended.Disconnected = n > 0 && endedByPeer(err)
 		return
 	}
 	select {
@@ -159,6 +162,7 @@
 	if got.err != nil {
 		p.drop(cn)
 		ended.Result = almondstep.CallBroken
+		ended.Disconnected = endedByPeer(got.err)
 		if errors.Is(got.err, errMalformed) {
 			ended.Result = almondstep.CallInvalidResponse
 			c.Logger.Info("malformed response", "upstream", call.Upstream.ID, "addr", call.Upstream.Addr,
@@ -181,6 +185,17 @@
 	p.put(cn)
 }
 
+// endedByPeer reports whether an error of a connection means that the other side closed
+// or reset it, as the operating system of a crashed process does.
+func endedByPeer(err error) bool {
+	for _, e := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // trim keeps only the greatest records of a shard's response. A response that isn't much
 // longer than these is left unchanged.
 func trim(part *almondstep.ResponseMessage, records int) {
--- a/exchanger/client_test.go
+++ b/exchanger/client_test.go
@@ -39,6 +39,8 @@
 	conns    atomic.Int32
 	requests atomic.Int32
 	closed   chan struct{}
+	// endAfterAnswer closes each connection after its first answer.
+	endAfterAnswer atomic.Bool
 }
 
 // serve starts an upstream that answers each request, the n-th one with the given key,
@@ -90,7 +92,7 @@
 		if text == "" {
 			return
 		}
-		if _, err := io.WriteString(c, text); err != nil {
+		if _, err := io.WriteString(c, text); err != nil || u.endAfterAnswer.Load() {
 			return
 		}
 	}
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -23,6 +23,9 @@
 	if backoff := f.picker.Ended(now, c.upstream.ID, e); backoff > 0 {
 		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
 	}
+	if e.Disconnected {
+		r.addDisconnected(c.upstream)
+	}
 	if c.budgeted && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
 	}
@@ -148,6 +151,22 @@
 	}
 }
 
+// maxTraceDisconnected limits the upstreams that a trace lists as disconnected.
+const maxTraceDisconnected = 8
+
+// addDisconnected adds to the trace an upstream that ended the connection while it had
+// the request.
+func (r *request) addDisconnected(u *almondstep.Upstream) {
+	t := &r.trace
+	if len(t.Disconnected) >= maxTraceDisconnected {
+		return
+	}
+	if t.Fingerprint == 0 {
+		t.Fingerprint = r.message.Fingerprint()
+	}
+	t.Disconnected = append(t.Disconnected, u.Run())
+}
+
 // settle stores a shard's answer.
 func (r *request) settle(i int, part *almondstep.ResponseMessage) {
 	r.shards[i].part = part
--- a/id.go
+++ b/id.go
@@ -1,6 +1,8 @@
 package almondstep
 
 import (
+	"hash/fnv"
+	"io"
 	"strconv"
 	"time"
 )
@@ -33,10 +35,13 @@
 type QueryID uint64
 
 // String formats the ID as 16 hexadecimal digits.
-func (q QueryID) String() string {
+func (q QueryID) String() string { return hexDigits(uint64(q)) }
+
+// hexDigits formats a number as 16 hexadecimal digits.
+func hexDigits(n uint64) string {
 	const hexBase = 16
 	const digits = 16
-	s := strconv.FormatUint(uint64(q), hexBase)
+	s := strconv.FormatUint(n, hexBase)
 	for len(s) < digits {
 		s = "0" + s
 	}
@@ -58,6 +63,19 @@
 // again.
 type Fingerprint uint64
 
+// FingerprintOf returns the fingerprint of a request that consists of parts.
+func FingerprintOf(parts ...string) Fingerprint {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = io.WriteString(h, p)
+		_, _ = h.Write([]byte{0})
+	}
+	return Fingerprint(h.Sum64())
+}
+
+// String formats the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return hexDigits(uint64(f)) }
+
 // Instant is a point in time on the process's monotonic clock, as the time since
 // the process started. Instants of different processes can't be compared.
 type Instant time.Duration
--- a/message_request.go
+++ b/message_request.go
@@ -48,6 +48,13 @@
 	Body   []byte `json:"body,omitempty"`
 }
 
+// Fingerprint is the same for a request and for its repetitions with another ID,
+// whichever daemon they reach. It doesn't depend on the header, in which each attempt may
+// differ, or on the caller.
+func (m *RequestMessage) Fingerprint() Fingerprint {
+	return FingerprintOf(m.Method, m.Host, m.Target, string(m.Body))
+}
+
 // ResponseMessage is an upstream's complete response.
 type ResponseMessage struct {
 	Status int    `json:"status"`
@@ -117,6 +124,9 @@
 	Call   CallID        `json:"call"`
 	Result CallResult    `json:"result"`
 	Took   time.Duration `json:"took"`
+	// Disconnected is set if the upstream ended the connection after the request was sent
+	// and before its response was complete.
+	Disconnected bool `json:"disconnected,omitempty"`
 	// Response is the upstream's response, whatever its status; nil if there is none.
 	Response *ResponseMessage `json:"response,omitempty"`
 	// Load is nil if the upstream didn't report it.
@@ -187,6 +197,11 @@
 	Denied int `json:"denied"`
 	// Steps are the first few decisions to call another upstream.
 	Steps []RequestStep `json:"steps,omitempty"`
+	// Fingerprint is that of the request if Disconnected isn't empty; 0 otherwise.
+	Fingerprint Fingerprint `json:"fingerprint,omitempty"`
+	// Disconnected lists the first few upstreams that ended the connection while they had
+	// the request.
+	Disconnected []UpstreamRun `json:"disconnected,omitempty"`
 	// Missing lists a few of the shards that are not included, with their results.
 	Missing []MissingPart `json:"missing,omitempty"`
 	Took    time.Duration `json:"took"`
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -49,6 +49,7 @@
 	hedges   *metrics.Counter
 	retries  *metrics.Counter
 	denied   *metrics.Counter
+	broken   *metrics.Counter
 }
 
 // replyKey has the labels of the counter of answers to routed requests.
@@ -185,6 +186,7 @@
 	m.hedges.Add(t.Hedges)
 	m.retries.Add(t.Retries)
 	m.denied.Add(t.Denied)
+	m.broken.Add(len(t.Disconnected))
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
 	}
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -42,6 +42,7 @@
 	requestCalls     = "almondstep_request_calls_total"
 	requestExtra     = "almondstep_request_extra_calls_total"
 	requestDenied    = "almondstep_request_denied_calls_total"
+	requestBroken    = "almondstep_request_disconnects_total"
 	linesDropped     = "almondstep_log_lines_dropped_total"
 	revision         = "almondstep_revision"
 	ready            = "almondstep_ready"
@@ -88,6 +89,11 @@
 			"Further calls that the retry budget didn't allow.",
 			"Above 0: so much is failing or late that more calls would harm the service.",
 		},
+		{
+			requestBroken, Counter, "upstreams", "route",
+			"Upstreams that ended the connection while they had a routed request, at most 8 a request.",
+			"The log lines of these requests have a fingerprint. The same one in many lines: find out why the request crashes upstreams.",
+		},
 	}
 }
 
--- a/server/caller_routes.go
+++ b/server/caller_routes.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -160,7 +159,7 @@
 		Text:        q.Text,
 		Limit:       limit,
 		Deadline:    deadline,
-		Fingerprint: fingerprint(q.Name, "", q.Text),
+		Fingerprint: almondstep.FingerprintOf(q.Name, "", q.Text),
 	}, nil
 }
 
@@ -192,7 +191,7 @@
 		Body:        q.Body,
 		Key:         key,
 		Deadline:    deadline,
-		Fingerprint: fingerprint(q.Name, q.Operation, q.RecordKey+"\x00"+q.Body),
+		Fingerprint: almondstep.FingerprintOf(q.Name, q.Operation, q.RecordKey+"\x00"+q.Body),
 	}, nil
 }
 
@@ -210,17 +209,6 @@
 	return errors.Wrap(k.Check(now), KeyHeader)
 }
 
-// fingerprint is the same for a request and its resends, whichever daemon they
-// reach.
-func fingerprint(name, operation, body string) almondstep.Fingerprint {
-	h := fnv.New64a()
-	for _, s := range []string{name, operation, body} {
-		_, _ = io.WriteString(h, s)
-		_, _ = h.Write([]byte{0})
-	}
-	return almondstep.Fingerprint(h.Sum64())
-}
-
 func checkNames(names ...string) error {
 	for _, n := range names {
 		if len(n) > maxNameBytes {
