Refuse a request under which three upstreams crashed, on all daemons

Cause: on the routed path nothing outlived an attempt. A request that came again, with another id, was sent as if it were new: first calls, retries and hedges. The class: a decision that spans attempts, daemons and restarts, with state that lives in one attempt.

A request is identified by method, host, target and body. An attempt during which upstreams ended the connection and none answered reports them; the control partition counts different upstream runs (package quarantiner, which the product's own controller now uses too), publishes the counts in the view, and records each crash under a key of its own in the registry. There the records of all daemons add up without a condition, reach everybody with the registry updates, and outlive restarts; they have no lease, as an outage of the store may end leases. At three the request is refused at once, for ten minutes, with Retry-After. An answer, be it a failure, clears it: of the innocent requests that run on a crashed server, each is answered elsewhere. Within an attempt over shards, retries are held from the third disconnect until a first answer: in a zone's loss that is one answer from another zone, while a request that crashes all its shards gets no second round. A regional delegate returns what it saw to the daemon that has the other parts. Bounded: 1,024 requests in memory, 64 records a daemon, 16 records a write, four writes a second.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -18,6 +18,7 @@
 	"almondstep"
 	"almondstep/distributor"
 	"almondstep/prober"
+	"almondstep/quarantiner"
 	"almondstep/ranker"
 )
 
@@ -53,7 +54,7 @@
 	grantRanker *ranker.Ranker
 
 	states     upstreamStates
-	quarantine quarantine
+	quarantine quarantiner.Quarantine
 	freshness  freshness
 	ownership  ownership
 	view       viewCache
@@ -65,7 +66,7 @@
 func New(cfg Config) *Control {
 	c := &Control{cfg: cfg}
 	c.states.init(cfg.Epoch)
-	c.quarantine.init()
+	c.quarantine = newQuarantine()
 	c.freshness.init()
 	c.ownership.init()
 	c.grantRanker = ranker.New(nil)
@@ -126,7 +127,7 @@
 	out = c.probeOwnZone(now, out)
 	out = c.probeOtherZones(now, out)
 	c.updateReady(now)
-	if c.quarantine.expire(now) {
+	if c.quarantine.Expire(now) {
 		c.view.dirty = true
 	}
 	if c.prober.TakeRoutingChanged() {
@@ -156,7 +157,7 @@
 			c.prober.Spread(update, update.Temperature == almondstep.Leaving)
 		}
 	case almondstep.RumorQuarantine:
-		if c.quarantine.receive(now, r) {
+		if receiveQuarantine(now, &c.quarantine, r) {
 			c.view.dirty = true
 			c.prober.Spread(*r, true)
 		}
@@ -186,7 +187,7 @@
 }
 
 func (c *Control) reportCrash(now almondstep.Instant, e *almondstep.ReportCrash) {
-	for _, r := range c.quarantine.report(now, e) {
+	for _, r := range quarantineRumors(now, &c.quarantine, e) {
 		c.prober.Spread(r, true)
 		c.view.dirty = true
 	}
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -124,7 +124,7 @@
 		Unready:     c.unready(),
 		Placements:  c.view.placements,
 		Owned:       c.ownedUpstreams(),
-		Quarantined: c.quarantine.fingerprints,
+		Quarantined: c.quarantine.Requests(),
 		Peers:       c.peers(),
 		Stopping:    c.stopping,
 	})
--- a/directory.go
+++ b/directory.go
@@ -14,6 +14,10 @@
 // Example: "i7@1700000000000" is upstream i7, started at that Unix millisecond.
 type UpstreamRun string
 
+// maxRunIDBytes is the longest ID of which an UpstreamRun is made; of a longer one, its
+// hash is used instead.
+const maxRunIDBytes = 100
+
 // Upstream is one upstream server that the platform's registry lists.
 type Upstream struct {
 	ID UpstreamID
@@ -35,10 +39,14 @@
 
 // Run returns the identity of this run of the upstream.
 func (u *Upstream) Run() UpstreamRun {
+	id := string(u.ID)
+	if len(id) > maxRunIDBytes {
+		id = FingerprintOf(id).String()
+	}
 	if u.Started.IsZero() {
-		return UpstreamRun(u.ID)
+		return UpstreamRun(id)
 	}
-	return UpstreamRun(string(u.ID) + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10))
+	return UpstreamRun(id + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10))
 }
 
 // Directory contains the routes from a daemon's registry cache and the upstreams
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -31,6 +31,9 @@
 	if r == nil {
 		return append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
 	}
+	if f.quarantined(r) {
+		return append(out, f.refuseQuarantined(r))
+	}
 	r.setDeadlines(cmp.Or(e.At, now), e.Remaining)
 	if now >= r.deadline {
 		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -24,7 +24,7 @@
 		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
 	}
 	if e.Disconnected {
-		r.addDisconnected(c.upstream)
+		r.addDisconnected(c.upstream.Run())
 	}
 	if c.budgeted && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
@@ -41,8 +41,8 @@
 		s.failure = e.Response
 	}
 	s.result = e.Result
-	if !s.hasPendingCall() && !f.retry(now, r, ref.shard, &out) {
-		r.markMissing(ref.shard, e.Result)
+	if !s.hasPendingCall() {
+		f.retryOrHold(now, r, ref.shard, &out)
 	}
 	return f.proceed(now, r, out)
 }
@@ -98,7 +98,7 @@
 func (f *Forwarder) sendAgain(now almondstep.Instant, r *request, i int, kind budgeter.CallKind, out *[]almondstep.Effect) bool {
 	s := &r.shards[i]
 	attempts := s.countedAttempts()
-	if attempts >= r.route.Attempts() || now >= r.deadline {
+	if attempts >= r.route.Attempts() || now >= r.deadline || f.suspectsCause(r) {
 		return false
 	}
 	if _, ok := f.fastestUntried(now, r, s); !ok {
@@ -151,22 +151,6 @@
 	}
 }
 
-// maxTraceDisconnected limits the upstreams that a trace lists as disconnected.
-const maxTraceDisconnected = 8
-
-// addDisconnected adds to the trace an upstream that ended the connection while it had
-// the request.
-func (r *request) addDisconnected(u *almondstep.Upstream) {
-	t := &r.trace
-	if len(t.Disconnected) >= maxTraceDisconnected {
-		return
-	}
-	if t.Fingerprint == 0 {
-		t.Fingerprint = r.message.Fingerprint()
-	}
-	t.Disconnected = append(t.Disconnected, u.Run())
-}
-
 // settle stores a shard's answer.
 func (r *request) settle(i int, part *almondstep.ResponseMessage) {
 	r.shards[i].part = part
@@ -202,6 +186,7 @@
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], 0, out)
 	}
+	out = f.reportCrashes(r, out)
 	return f.forget(r, f.cancelRegional(now, r, f.cancelDelegated(now, r, out)))
 }
 
--- /dev/null
+++ b/forwarder/crashes.go
@@ -0,0 +1,123 @@
+package forwarder
+
+import (
+	"slices"
+
+	"almondstep"
+)
+
+// fingerprintOf returns the request's fingerprint, which is computed at its first use.
+func (r *request) fingerprintOf() almondstep.Fingerprint {
+	if r.fingerprint == 0 {
+		r.fingerprint = r.message.Fingerprint()
+	}
+	return r.fingerprint
+}
+
+// knownCrashes returns the number of upstreams that are known, to all daemons, to have
+// crashed under the request.
+func (f *Forwarder) knownCrashes(r *request) int {
+	if !f.view.HasSuspects() {
+		return 0
+	}
+	return f.view.Crashes(r.fingerprintOf())
+}
+
+// quarantined reports whether all daemons refuse the request.
+func (f *Forwarder) quarantined(r *request) bool {
+	return f.view.HasSuspects() && f.view.Quarantined(r.fingerprintOf())
+}
+
+// refuseQuarantined refuses a request that is in quarantine.
+func (f *Forwarder) refuseQuarantined(r *request) *almondstep.ReplyRequest {
+	refusal := refuse(r.id, almondstep.CodeQuarantined, f.crashMemory)
+	refusal.Reply.Trace = r.trace
+	refusal.Reply.Trace.Fingerprint = r.fingerprintOf()
+	return refusal
+}
+
+// survived reports whether an upstream has answered the request, be it with a failure.
+func (r *request) survived() bool {
+	failed := func(s shard) bool { return s.failure != nil }
+	return r.included() > 0 || slices.ContainsFunc(r.shards, failed)
+}
+
+// suspectsCause reports whether so many upstreams have crashed under the request, here
+// and before, and none has answered it, that it must be taken for the cause.
+func (f *Forwarder) suspectsCause(r *request) bool {
+	own := len(r.trace.Disconnected)
+	if f.crashLimit == 0 || own == 0 || r.survived() {
+		return false
+	}
+	return own+f.knownCrashes(r) >= f.crashLimit
+}
+
+// retryOrHold calls another upstream for a shard whose calls have all failed. If the
+// request is suspected of crashing upstreams and other calls of it are pending, the retry
+// is held until one of them is answered. If neither is possible, the shard is missing.
+//
+// Example: an availability zone loses power, and 17 of the 50 upstreams that have a request
+// disconnect. The first answer from another zone clears the request, and the 17 shards are
+// retried. If all 50 disconnect, none is.
+func (f *Forwarder) retryOrHold(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) {
+	s := &r.shards[i]
+	if r.openCalls > 0 && f.suspectsCause(r) {
+		s.held = true
+		return
+	}
+	if !f.retry(now, r, i, out) {
+		r.markMissing(i, s.result)
+	}
+}
+
+// resolveHeld retries the held shards once an upstream has answered the request, or marks
+// them missing if no call is pending any more.
+func (f *Forwarder) resolveHeld(now almondstep.Instant, r *request, out *[]almondstep.Effect) {
+	if r.openCalls > 0 && f.suspectsCause(r) {
+		return
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		if !s.held {
+			continue
+		}
+		s.held = false
+		if !s.settled && !s.hasPendingCall() {
+			f.retryOrHold(now, r, i, out)
+		}
+	}
+}
+
+// maxDisconnected limits the upstreams that a request keeps as disconnected.
+const maxDisconnected = 8
+
+// addDisconnected records an upstream that ended the connection while it had the request.
+func (r *request) addDisconnected(u almondstep.UpstreamRun) {
+	t := &r.trace
+	if len(t.Disconnected) < maxDisconnected {
+		t.Fingerprint = r.fingerprintOf()
+		t.Disconnected = append(t.Disconnected, u)
+	}
+}
+
+// reportCrashes reports, at the end of a request, the upstreams that crashed under it if
+// none has answered it, or that it is cleared. The part that a regional delegate answers
+// is judged by the daemon that sent it, which has the other parts.
+func (f *Forwarder) reportCrashes(r *request, out []almondstep.Effect) []almondstep.Effect {
+	switch {
+	case r.asDelegate && r.isPart():
+		return out
+	case r.survived():
+		if f.knownCrashes(r) > 0 {
+			return append(out, &almondstep.RequestSurvived{Fingerprint: r.fingerprintOf()})
+		}
+		return out
+	case len(r.trace.Disconnected) == 0:
+		return out
+	}
+	crashed := r.trace.Disconnected
+	if f.crashLimit > 0 {
+		crashed = crashed[:min(f.crashLimit, len(crashed))]
+	}
+	return append(out, &almondstep.RequestCrashed{Fingerprint: r.fingerprintOf(), Upstreams: crashed})
+}
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -30,6 +30,7 @@
 	if r.answered {
 		return f.forget(r, out)
 	}
+	f.resolveHeld(now, r, &out)
 	included := r.included()
 	switch {
 	case r.delegated != nil && now < r.deadline:
@@ -79,6 +80,7 @@
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], abandonedCallTimeout, out)
 	}
+	out = f.reportCrashes(r, out)
 	return f.forget(r, out)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,11 @@
 	// budgeter.ColdLimiter.
 	ColdFactor float64
 	ColdSlack  float64
+	// CrashLimit is the number of upstreams that may crash under a request before it is
+	// refused; 0 means that requests aren't refused for that reason. CrashMemory is how
+	// long it is refused then.
+	CrashLimit  int
+	CrashMemory time.Duration
 }
 
 // Forwarder is the reducer partition for the routed requests of one traffic thread.
@@ -39,6 +44,11 @@
 	directory *almondstep.Directory
 	region    almondstep.RegionName
 	lastCall  almondstep.CallID
+	// crashLimit and crashMemory are those of the configuration.
+	crashLimit  int
+	crashMemory time.Duration
+	// view is that of the event being processed.
+	view *almondstep.View
 }
 
 // callRef locates a call in its request.
@@ -57,11 +67,15 @@
 		calls:     make(map[almondstep.CallID]callRef),
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		region:    cfg.Region,
+
+		crashLimit:  cfg.CrashLimit,
+		crashMemory: cfg.CrashMemory,
 	}
 }
 
 // Reduce processes one event and appends the resulting effects to out.
 func (f *Forwarder) Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	f.view = v
 	switch e := e.(type) {
 	case *almondstep.RequestArrived:
 		return f.requestArrived(now, v, e, out)
--- a/forwarder/harness_test.go
+++ b/forwarder/harness_test.go
@@ -35,6 +35,9 @@
 	replies map[almondstep.QueryID]*almondstep.Reply
 	// repliedAt holds the time of each reply.
 	repliedAt map[almondstep.QueryID]almondstep.Instant
+	// crashed lists the reports of crashes, survived counts those that a request survived.
+	crashed  []*almondstep.RequestCrashed
+	survived int
 }
 
 // testConfig returns the configuration of most tests.
@@ -75,6 +78,10 @@
 			w.cancels[f.Call] = f.After
 		case *almondstep.SetRequestTimer:
 			w.timers[f.ID] = append(w.timers[f.ID], w.now.Add(f.After))
+		case *almondstep.RequestCrashed:
+			w.crashed = append(w.crashed, f)
+		case *almondstep.RequestSurvived:
+			w.survived++
 		case *almondstep.ReplyRequest:
 			if w.replies[f.ID] != nil {
 				w.t.Fatalf("request %v was answered twice", f.ID)
--- a/forwarder/region.go
+++ b/forwarder/region.go
@@ -176,6 +176,9 @@
 		f.queryRegionalShards(now, r, &out)
 	} else if e.Reply != nil {
 		part.merged = e.Reply.Merged
+		for _, u := range e.Reply.Trace.Disconnected {
+			r.addDisconnected(u)
+		}
 	}
 	return f.proceed(now, r, out)
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -35,7 +35,9 @@
 	regional *regionalPart
 	// timerAt is when the timer that is set expires; 0 if none is set.
 	timerAt almondstep.Instant
-	trace   almondstep.RequestTrace
+	// fingerprint is 0 until it is needed.
+	fingerprint almondstep.Fingerprint
+	trace       almondstep.RequestTrace
 }
 
 // shard is the part of a request that one service answers. A request that isn't
@@ -49,6 +51,9 @@
 	part *almondstep.ResponseMessage
 	// failure is the last signed error response received from an upstream.
 	failure *almondstep.ResponseMessage
+	// held is set while a retry waits for the first answer to the request, which shows
+	// that the request doesn't crash the upstreams.
+	held bool
 	// settled is set once the shard is answered or marked missing.
 	settled bool
 	// result is that of the last failed call.
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -22,6 +22,9 @@
 // is none. The caller has checked that another call is allowed.
 func (f *Forwarder) send(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) bool {
 	s := &r.shards[i]
+	if f.quarantined(r) {
+		return false
+	}
 	u, ok := f.choose(now, r, s)
 	if !ok {
 		return false
--- a/interfaces.go
+++ b/interfaces.go
@@ -50,6 +50,9 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*RegistryChanges, error)
 	// Announce takes or renews this daemon's lease for ttl.
 	Announce(ctx context.Context, ttl time.Duration) error
+	// RecordCrashes adds and removes records of crashes. It may be repeated. If it returns
+	// an error, it may have taken effect.
+	RecordCrashes(ctx context.Context, f *RecordCrashes) error
 	// Read decodes entries that another daemon has forwarded.
 	Read(revision uint64, entries []RegistryEntry) *RegistryChanges
 }
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -34,6 +34,8 @@
 		r.background(func(ctx context.Context) { r.readRegistry(ctx, f) })
 	case *almondstep.AnnounceDaemon:
 		r.background(func(ctx context.Context) { r.announce(ctx, f) })
+	case *almondstep.RecordCrashes:
+		r.background(func(ctx context.Context) { r.recordCrashes(ctx, f) })
 	case *almondstep.Report:
 		r.report(f)
 	default:
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -78,6 +78,10 @@
 		r.control.push(f)
 	case *almondstep.ReportCrash:
 		r.control.push(f)
+	case *almondstep.RequestCrashed:
+		r.control.push(f)
+	case *almondstep.RequestSurvived:
+		r.control.push(f)
 	default:
 		t.performControl(f)
 	}
--- a/runner/registry.go
+++ b/runner/registry.go
@@ -78,3 +78,11 @@
 	}
 	r.control.push(e)
 }
+
+func (r *Runner) recordCrashes(ctx context.Context, f *almondstep.RecordCrashes) {
+	e := &almondstep.CrashesRecorded{RecordCrashes: *f}
+	if err := r.Registry.RecordCrashes(ctx, f); err != nil {
+		e.Err = err.Error()
+	}
+	r.control.push(e)
+}
--- a/view.go
+++ b/view.go
@@ -13,6 +13,7 @@
 	placements          map[ServiceName][]Placement
 	owned               map[Address]OwnedUpstream
 	quarantined         map[Fingerprint]struct{}
+	crashes             map[Fingerprint]int
 	peers               map[DaemonID]Address
 	stopping            bool
 	directory           *Directory
@@ -137,7 +138,9 @@
 	Placements  map[ServiceName][]Placement
 	Owned       map[Address]OwnedUpstream
 	Quarantined map[Fingerprint]struct{}
-	Peers       map[DaemonID]Address
+	// Crashes is the number of upstreams that crashed under each suspect request.
+	Crashes map[Fingerprint]int
+	Peers   map[DaemonID]Address
 	// Stopping is set while the daemon shuts down; it then refuses new forwarded
 	// work.
 	Stopping bool
@@ -162,6 +165,7 @@
 		placements:          spec.Placements,
 		owned:               spec.Owned,
 		quarantined:         spec.Quarantined,
+		crashes:             spec.Crashes,
 		peers:               spec.Peers,
 		stopping:            spec.Stopping,
 		directory:           spec.Directory,
@@ -221,6 +225,13 @@
 	return ok
 }
 
+// Crashes returns the number of upstreams that crashed under a request, as far as it is
+// known; 0 if the request isn't suspect.
+func (v *View) Crashes(f Fingerprint) int { return v.crashes[f] }
+
+// HasSuspects reports whether upstreams crashed under any request.
+func (v *View) HasSuspects() bool { return len(v.crashes) > 0 }
+
 // Peer looks up the address of another daemon.
 func (v *View) Peer(id DaemonID) (Address, bool) {
 	a, ok := v.peers[id]
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -29,6 +29,8 @@
 	for _, d := range c.Daemons {
 		changed = w.applyDaemon(now, d) || changed
 	}
+	crashes, out := w.applyCrashes(now, e, out)
+	changed = crashes || changed
 	return changed || w.publishedDaemons != w.daemonCount(), out
 }
 
@@ -250,6 +252,8 @@
 		Unready:             w.unready(),
 		Stopping:            w.stopping,
 		Directory:           w.directory,
+		Quarantined:         w.crashes.quarantine.Requests(),
+		Crashes:             w.crashes.quarantine.Crashes(),
 		DirectoryFreshUntil: max(1, w.confirmedAt.Add(w.cfg.MaxAge)),
 	}
 	if w.routes != nil {
--- /dev/null
+++ b/watcher/crashes.go
@@ -0,0 +1,261 @@
+package watcher
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"almondstep"
+	"almondstep/quarantiner"
+)
+
+const (
+	// CrashLimit is the number of upstreams that may crash under a request before all
+	// daemons refuse it.
+	CrashLimit = 3
+	// CrashMemory is how long a crash counts and a request is refused.
+	CrashMemory = 10 * time.Minute
+	// maxSuspects bounds the requests that are remembered.
+	maxSuspects = 1024
+	// maxOwnRecords bounds the records that one daemon has in the registry: it replaces its
+	// oldest ones.
+	maxOwnRecords = 64
+	// recordBatch is the number of records that are written or removed at a time, and
+	// recordInterval the time between two of these writes.
+	recordBatch    = 16
+	recordInterval = 250 * time.Millisecond
+	// removalTimeout is the time after which the removal of a record is queued again.
+	removalTimeout = 10 * time.Second
+)
+
+// crashLog holds under which requests upstreams crashed, as observed by this daemon and
+// as recorded in the registry. There the records outlive the daemons, and reach all of
+// them with the other registry updates.
+type crashLog struct {
+	quarantine quarantiner.Quarantine
+	// records holds what the registry has.
+	records map[almondstep.CrashRecord]crashEntry
+	// own lists the records that this daemon has written, oldest first.
+	own []almondstep.CrashRecord
+	// toAdd and toRemove are to be written next, from nextAt on; writing is whether a
+	// write is pending.
+	toAdd    []almondstep.CrashRecord
+	toRemove []almondstep.CrashRecord
+	nextAt   almondstep.Instant
+	writing  bool
+	// retry is the delay after which the next failed write is repeated.
+	retry time.Duration
+}
+
+// crashEntry is a record as the registry has it.
+type crashEntry struct {
+	revision uint64
+	// removeAt is when the record has lost its meaning.
+	removeAt almondstep.Instant
+}
+
+func newCrashLog() crashLog {
+	return crashLog{
+		quarantine: quarantiner.Quarantine{Limit: CrashLimit, Duration: CrashMemory, MaxRequests: maxSuspects},
+		records:    make(map[almondstep.CrashRecord]crashEntry),
+		retry:      minAnnounceRetry,
+	}
+}
+
+// requestCrashed counts the crashes that a traffic thread has observed, and has them
+// recorded in the registry.
+func (w *Watcher) requestCrashed(now almondstep.Instant, e *almondstep.RequestCrashed, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	for _, u := range e.Upstreams {
+		if !l.quarantine.Add(now, e.Fingerprint, u) {
+			continue
+		}
+		l.add(almondstep.CrashRecord{Fingerprint: e.Fingerprint, Upstream: u})
+		out = append(out, w.reportCrash(now, e.Fingerprint, "upstream "+string(u)+" crashed under it"))
+	}
+	return w.recordCrashes(now, w.publishAge(out))
+}
+
+// add queues a record. Beyond maxOwnRecords, this daemon's oldest one is removed.
+func (l *crashLog) add(r almondstep.CrashRecord) {
+	l.toAdd = append(l.toAdd, r)
+	l.own = append(l.own, r)
+	if len(l.own) > maxOwnRecords {
+		l.remove(l.own[0])
+	}
+}
+
+// remove queues the removal of a record, unless it hasn't been written yet.
+func (l *crashLog) remove(r almondstep.CrashRecord) {
+	same := func(o almondstep.CrashRecord) bool { return o == r }
+	l.own = slices.DeleteFunc(l.own, same)
+	if i := slices.Index(l.toAdd, r); i >= 0 {
+		l.toAdd = slices.Delete(l.toAdd, i, i+1)
+		return
+	}
+	if !slices.Contains(l.toRemove, r) {
+		l.toRemove = append(l.toRemove, r)
+	}
+}
+
+// requestSurvived clears a request that an upstream has answered.
+func (w *Watcher) requestSurvived(now almondstep.Instant, e *almondstep.RequestSurvived, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	if l.quarantine.Crashes()[e.Fingerprint] == 0 {
+		return out
+	}
+	for _, r := range l.of(e.Fingerprint) {
+		l.quarantine.Remove(now, r.Fingerprint, r.Upstream)
+		l.remove(r)
+	}
+	out = append(out, w.report("request cleared", e.Fingerprint.String(), "an upstream answered it", w.revision))
+	return w.recordCrashes(now, w.publishAge(out))
+}
+
+// of lists the records of a request: those in the registry, and those to be written.
+func (l *crashLog) of(f almondstep.Fingerprint) []almondstep.CrashRecord {
+	var list []almondstep.CrashRecord
+	for r := range l.records {
+		if r.Fingerprint == f {
+			list = append(list, r)
+		}
+	}
+	for _, r := range l.own {
+		if r.Fingerprint == f && !slices.Contains(list, r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, byUpstream)
+	return list
+}
+
+func byUpstream(a, b almondstep.CrashRecord) int {
+	return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Fingerprint, b.Fingerprint))
+}
+
+// recordCrashes writes what is queued, in batches.
+func (w *Watcher) recordCrashes(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	if l.writing || now < l.nextAt || len(l.toAdd)+len(l.toRemove) == 0 {
+		return out
+	}
+	f := &almondstep.RecordCrashes{}
+	f.Add, l.toAdd = takeFirst(l.toAdd, recordBatch)
+	f.Remove, l.toRemove = takeFirst(l.toRemove, recordBatch)
+	l.writing = true
+	l.nextAt = now.Add(recordInterval)
+	return append(out, f)
+}
+
+// takeFirst splits a list after at most n elements.
+func takeFirst(list []almondstep.CrashRecord, n int) (first, rest []almondstep.CrashRecord) {
+	n = min(n, len(list))
+	return slices.Clone(list[:n]), slices.Clone(list[n:])
+}
+
+// crashesRecorded queues again what couldn't be written.
+func (w *Watcher) crashesRecorded(now almondstep.Instant, e *almondstep.CrashesRecorded, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	l.writing = false
+	if e.Err == "" {
+		l.retry = minAnnounceRetry
+		return out
+	}
+	for _, r := range e.Add {
+		if slices.Contains(l.own, r) {
+			l.toAdd = append(l.toAdd, r)
+		}
+	}
+	l.toRemove = append(l.toRemove, e.Remove...)
+	l.nextAt = now.Add(l.retry)
+	l.retry = min(2*l.retry, maxAnnounceRetry)
+	return out
+}
+
+// applyCrashes applies changes of the records, and reports whether there were any.
+func (w *Watcher) applyCrashes(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) (bool, []almondstep.Effect) {
+	l := &w.crashes
+	changes := e.Changes.Crashes
+	if e.Full {
+		changes = l.withUnlisted(changes, e.Changes.Revision)
+	}
+	changed := false
+	for _, c := range changes {
+		held, known := l.records[c.CrashRecord]
+		if known && c.Revision < held.revision || !known && c.Removed {
+			continue
+		}
+		changed = true
+		if c.Removed {
+			delete(l.records, c.CrashRecord)
+			l.quarantine.Remove(now, c.Fingerprint, c.Upstream)
+			continue
+		}
+		if !known {
+			held.removeAt = now.Add(CrashMemory)
+		}
+		held.revision = c.Revision
+		l.records[c.CrashRecord] = held
+		if l.quarantine.Add(now, c.Fingerprint, c.Upstream) {
+			out = append(out, w.reportCrash(now, c.Fingerprint, "the registry has that upstream "+string(c.Upstream)+" crashed under it"))
+		}
+	}
+	return changed, out
+}
+
+// withUnlisted adds the removals of the records that a full read doesn't list.
+func (l *crashLog) withUnlisted(listed []almondstep.CrashChange, revision uint64) []almondstep.CrashChange {
+	kept := make(map[almondstep.CrashRecord]bool, len(listed))
+	for _, c := range listed {
+		kept[c.CrashRecord] = true
+	}
+	all := slices.Clone(listed)
+	for r, held := range l.records {
+		if !kept[r] && held.revision <= revision {
+			all = append(all, almondstep.CrashChange{CrashRecord: r, Removed: true, Revision: revision})
+		}
+	}
+	return all
+}
+
+// expireCrashes forgets crashes older than CrashMemory. The daemons that read the registry
+// itself remove the records.
+func (w *Watcher) expireCrashes(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	if w.reads.isFollowing && w.reads.followed == registry() {
+		l.removeExpired(now)
+	}
+	if l.quarantine.Expire(now) {
+		return w.publishAge(out)
+	}
+	return out
+}
+
+// removeExpired queues the removal of the records that have lost their meaning. If that
+// isn't confirmed within removalTimeout, it is queued again.
+func (l *crashLog) removeExpired(now almondstep.Instant) {
+	var expired []almondstep.CrashRecord
+	for r, held := range l.records {
+		if now >= held.removeAt {
+			expired = append(expired, r)
+		}
+	}
+	slices.SortFunc(expired, byUpstream)
+	for _, r := range expired {
+		l.remove(r)
+		l.records[r] = crashEntry{revision: l.records[r].revision, removeAt: now.Add(removalTimeout)}
+	}
+}
+
+// reportCrash logs that a crash counts against a request, as a warning if the request is
+// refused from now on.
+func (w *Watcher) reportCrash(now almondstep.Instant, f almondstep.Fingerprint, cause string) *almondstep.Report {
+	n := strconv.Itoa(w.crashes.quarantine.Crashes()[f])
+	r := w.report("request is suspected of crashing upstreams", f.String(), cause+"; crashes: "+n, w.revision)
+	if w.crashes.quarantine.Remaining(now, f) > 0 {
+		r.Level = almondstep.ReportWarn
+		r.Message = "request is refused because it crashes upstreams"
+	}
+	return r
+}
--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -158,6 +158,8 @@
 			}
 		case *almondstep.AnnounceDaemon:
 			f.announce(n)
+		case *almondstep.RecordCrashes:
+			f.recordCrashes(n, eff)
 		}
 	}
 }
@@ -294,6 +296,9 @@
 			})
 			continue
 		}
+		if addCrash(e, c) {
+			continue
+		}
 		u := almondstep.UpstreamChange{Key: e.Key, Revision: e.Revision}
 		if !e.Removed {
 			u.Upstream = &almondstep.Upstream{ID: almondstep.UpstreamID(e.Key), Service: "s", Zone: "z"}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -84,6 +84,7 @@
 	// got a reply because of a new confirmation.
 	lastSentConfirmation almondstep.Instant
 	publishedDaemons     int
+	crashes              crashLog
 	// orders lists the daemons of each zone in the order that determines their place in
 	// the tree; nil if it must be rebuilt.
 	orders map[almondstep.ZoneName][]almondstep.DaemonID
@@ -123,6 +124,7 @@
 		announceRetry: minAnnounceRetry,
 		random:        almondstep.NewRandom(ranker.Hash(string(cfg.Self))),
 		journal:       newJournal(),
+		crashes:       newCrashLog(),
 	}
 }
 
@@ -137,6 +139,12 @@
 		return w.updateRequested(now, e, out)
 	case *almondstep.DaemonAnnounced:
 		w.daemonAnnounced(now, e)
+	case *almondstep.RequestCrashed:
+		return w.requestCrashed(now, e, out)
+	case *almondstep.RequestSurvived:
+		return w.requestSurvived(now, e, out)
+	case *almondstep.CrashesRecorded:
+		return w.crashesRecorded(now, e, out)
 	case *almondstep.StopRequested:
 		w.stopping = true
 		return w.publish(out)
@@ -157,6 +165,8 @@
 	}
 	out = w.runSearch(now, out)
 	out = w.warn(now, out)
+	out = w.expireCrashes(now, out)
+	out = w.recordCrashes(now, out)
 	return w.announce(now, out)
 }
 
