Show which upstreams state a limit

The limit that a server states in its answers wasn't decoded, so neither logs nor metrics could tell a daemon that doesn't know of a limit from one that exceeds it. platform decodes it from every answer of the server itself, whatever the status; what isn't a finite number from 0 counts as none. A daemon logs when an upstream begins or ceases to state a limit. No decision changed.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -23,6 +23,7 @@
 	if backoff := f.picker.Ended(now, c.upstream.ID, e); backoff > 0 {
 		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
 	}
+	out = f.observeLimit(c.upstream, e, out)
 	if e.Disconnected {
 		r.addDisconnected(c.upstream.Run())
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	calls     map[almondstep.CallID]callRef
 	balancers map[almondstep.RouteName]*targetBalancer
 	delegates delegatePool
+	// limits holds the limit that each upstream states, in requests per second.
+	limits map[almondstep.UpstreamID]float64
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -65,6 +67,7 @@
 		cold:      budgeter.ColdLimiter{Factor: cfg.ColdFactor, Slack: cfg.ColdSlack},
 		requests:  make(map[almondstep.QueryID]*request),
 		calls:     make(map[almondstep.CallID]callRef),
+		limits:    make(map[almondstep.UpstreamID]float64),
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		region:    cfg.Region,
 
--- a/message_request.go
+++ b/message_request.go
@@ -131,6 +131,9 @@
 	Response *ResponseMessage `json:"response,omitempty"`
 	// Load is nil if the upstream didn't report it.
 	Load *UpstreamLoad `json:"load,omitempty"`
+	// Limit is the number of requests per second that the upstream takes from all daemons
+	// together, as it states; nil if it states none.
+	Limit *float64 `json:"limit,omitempty"`
 	// ColdFor is how much longer the upstream stays cold, as it reports.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
 }
