--- a/exchanger/client_test.go
+++ b/exchanger/client_test.go
@@ -41,6 +41,8 @@
 	closed   chan struct{}
 	// endAfterAnswer closes each connection after its first answer.
 	endAfterAnswer atomic.Bool
+	// reset makes each connection end with a reset instead of an orderly close.
+	reset atomic.Bool
 }
 
 // serve starts an upstream that answers each request, the n-th one with the given key,
@@ -77,6 +79,11 @@
 
 func (u *upstream) serveConn(c net.Conn, answer func(*http.Request) string) {
 	defer func() {
+		if tcp, ok := c.(*net.TCPConn); ok && u.reset.Load() {
+			// The bytes sent before are received, since the test waits before it resets.
+			time.Sleep(20 * time.Millisecond)
+			_ = tcp.SetLinger(0)
+		}
 		_ = c.Close()
 		u.closed <- struct{}{}
 	}()
