--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -172,6 +172,9 @@
 // connection is no longer used.
 const idleMargin = 500 * time.Millisecond
 
+// maxKeepAlive bounds the keep-alive timeout that an upstream may announce, in seconds.
+const maxKeepAlive = 3600
+
 // keepAlive sets the idle timeout according to the value of a Keep-Alive field.
 //
 // Example: "timeout=5, max=100" sets it to 4.5 s.
@@ -182,7 +185,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(n); err == nil && seconds > 0 {
-			cn.idleTimeout.Store(int64(time.Duration(seconds)*time.Second - idleMargin))
+			cn.idleTimeout.Store(int64(time.Duration(min(seconds, maxKeepAlive))*time.Second - idleMargin))
 		}
 	}
 }
