Answer every request that was taken before a planned stop ends

Cause: the daemon waits for its open requests until 0.4 s before the end of the grace and then closes their connections. Nothing told the forwarder of that end, so a request whose route allows more time than was left was taken like any other, and waited for its own deadline. With a grace of 2 s and servers that take 0.9 s, six to eight requests in each of four cases, one of them not idempotent, ran at a server and ended with EOF.

Change: StopRequested says within what time all routed requests must be answered, and the view carries the instant. The forwarder caps the deadlines of open requests to it, so each gets its answer: the parts that are there, a refusal if it hasn't run, else 504. While the daemon stops, a request that isn't idempotent is taken only if all the time it may take is left, any other if its latency target is; what can't be served is refused at once as not run, so that the caller asks another daemon.

--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -38,6 +38,10 @@
 	if now >= r.deadline {
 		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
 	}
+	if f.stopsTooSoon(now, r) {
+		return append(out, refuse(e.ID, almondstep.CodeStopping, stoppingRetryAfter))
+	}
+	r.capDeadline(f.view.AnswerBy())
 	if f.delegate(now, r, &out) {
 		f.requests[r.id] = r
 		return r.setTimer(now, out)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,8 @@
 	// crashLimit and crashMemory are those of the configuration.
 	crashLimit  int
 	crashMemory time.Duration
+	// cappedTo is the last View.AnswerBy to which the deadlines were capped.
+	cappedTo almondstep.Instant
 	// view is that of the event being processed.
 	view *almondstep.View
 }
@@ -98,6 +100,7 @@
 			f.delegates.retain(d)
 			f.rates.Retain(d)
 		}
+		return f.capDeadlines(now, out)
 	}
 	return out
 }
--- a/message_control.go
+++ b/message_control.go
@@ -206,7 +206,11 @@
 }
 
 // StopRequested starts a graceful shutdown.
-type StopRequested struct{}
+type StopRequested struct {
+	// Within is the time within which all routed requests must be answered; 0 if it isn't
+	// limited.
+	Within time.Duration `json:"within,omitempty"`
+}
 
 // Control implements ControlEvent.
 func (*ControlTick) Control() {}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -137,9 +137,10 @@
 func (r *Runner) View() *almondstep.View { return r.view.Load() }
 
 // Stop starts a graceful shutdown: the daemon becomes unready and transfers its
-// upstreams, while requests in progress continue.
-func (r *Runner) Stop() {
-	r.control.push(&almondstep.StopRequested{})
+// upstreams, while requests in progress continue. Routed requests are answered within the
+// given time; 0 means that it isn't limited.
+func (r *Runner) Stop(within time.Duration) {
+	r.control.push(&almondstep.StopRequested{Within: within})
 }
 
 // now returns the current instant on the process's monotonic clock.
--- a/starter/daemon.go
+++ b/starter/daemon.go
@@ -138,7 +138,7 @@
 // the requests of callers and other daemons in progress, for at most stopTimeout.
 func (d *Daemon) shutdown() {
 	d.Logger.Info("graceful shutdown begins", "readyDelay", d.Settings.ReadyDelay)
-	d.runner.Stop()
+	d.runner.Stop(0)
 	time.Sleep(d.Settings.ReadyDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
--- a/view.go
+++ b/view.go
@@ -16,6 +16,7 @@
 	crashes             map[Fingerprint]int
 	peers               map[DaemonID]Address
 	stopping            bool
+	answerBy            Instant
 	directory           *Directory
 	directoryFreshUntil Instant
 }
@@ -144,6 +145,9 @@
 	// Stopping is set while the daemon shuts down; it then refuses new forwarded
 	// work.
 	Stopping bool
+	// AnswerBy is when all routed requests must be answered because the daemon shuts down;
+	// 0 if there is no such instant.
+	AnswerBy Instant
 	// Directory holds the routes and their upstreams; nil if the daemon serves no
 	// routes.
 	Directory *Directory
@@ -168,6 +172,7 @@
 		crashes:             spec.Crashes,
 		peers:               spec.Peers,
 		stopping:            spec.Stopping,
+		answerBy:            spec.AnswerBy,
 		directory:           spec.Directory,
 		directoryFreshUntil: spec.DirectoryFreshUntil,
 	}
@@ -232,6 +237,10 @@
 // HasSuspects reports whether upstreams crashed under any request.
 func (v *View) HasSuspects() bool { return len(v.crashes) > 0 }
 
+// AnswerBy returns when all routed requests must be answered because the daemon shuts
+// down; 0 if there is no such instant.
+func (v *View) AnswerBy() Instant { return v.answerBy }
+
 // Peer looks up the address of another daemon.
 func (v *View) Peer(id DaemonID) (Address, bool) {
 	a, ok := v.peers[id]
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -251,6 +251,7 @@
 		Zone:                w.cfg.Zone,
 		Unready:             w.unready(),
 		Stopping:            w.stopping,
+		AnswerBy:            w.answerBy,
 		Directory:           w.directory,
 		Quarantined:         w.crashes.quarantine.Requests(),
 		Crashes:             w.crashes.quarantine.Crashes(),
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -55,6 +55,8 @@
 	drainedZones map[almondstep.ZoneName]drainState
 	daemons      map[almondstep.DaemonID]*daemon
 	stopping     bool
+	// answerBy is when all routed requests must be answered; 0 if there is no such instant.
+	answerBy almondstep.Instant
 	// revision is that of the registry cache; 0 if the cache is empty.
 	revision uint64
 	// confirmedAt is the latest instant at which the registry cache is certain to have
@@ -147,6 +149,9 @@
 		return w.crashesRecorded(now, e, out)
 	case *almondstep.StopRequested:
 		w.stopping = true
+		if e.Within > 0 {
+			w.answerBy = now.Add(e.Within)
+		}
 		return w.publish(out)
 	}
 	return out
