Use one type for why an upstream is called

budgeter.CallKind gets First, so that forwarder needs no second type beside it, and the default of exchanger's logger stands once. No behaviour changed; forwarder's golden files are the same.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -6,12 +6,15 @@
 	"almondstep"
 )
 
-// CallKind is the kind of an extra call.
+// CallKind is why an upstream is called.
 type CallKind uint8
 
 const (
+	// First is the first call for a request, or for one of its shards. It isn't an extra
+	// call.
+	First CallKind = iota
 	// Retry follows a failed call.
-	Retry CallKind = iota
+	Retry
 	// Hedge duplicates a call that is still pending.
 	Hedge
 )
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -90,9 +90,6 @@
 			c.Logger = hclog.NewNullLogger()
 		}
 		c.memory.free = c.MaxBufferedBytes
-		if c.Logger == nil {
-			c.Logger = hclog.NewNullLogger()
-		}
 		c.pools = make(map[poolKey]*pool)
 		c.lastSweep = time.Now()
 	})
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/budgeter"
 )
 
 const (
@@ -90,7 +91,7 @@
 func (f *Forwarder) sendFirst(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) {
 	s := &r.shards[i]
 	f.budget.CountRequest(now, s.service)
-	if !f.send(now, r, i, requiredCall, out) {
+	if !f.send(now, r, i, budgeter.First, out) {
 		s.limitWait = f.limitWait(now, r, s)
 		r.markMissing(i, almondstep.CallRefused)
 	}
@@ -102,7 +103,7 @@
 	n := 0
 	for i := range r.shards {
 		s := &r.shards[i]
-		usable := func(u *almondstep.Upstream) bool { return f.mayCall(now, r, s, u, requiredCall) }
+		usable := func(u *almondstep.Upstream) bool { return f.mayCall(now, r, s, u, budgeter.First) }
 		if _, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable); ok {
 			n++
 			continue
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -102,11 +102,7 @@
 	if attempts >= r.route.Attempts() || now >= r.deadline || f.suspectsCause(r) {
 		return false
 	}
-	call := requiredCall
-	if kind == budgeter.Hedge {
-		call = hedgeCall
-	}
-	if _, ok := f.fastestUntried(now, r, s, call); !ok {
+	if _, ok := f.fastestUntried(now, r, s, kind); !ok {
 		return false
 	}
 	step := s.step(now.Sub(r.arrivedAt), kind)
@@ -117,7 +113,7 @@
 		r.addStep(step)
 		return false
 	}
-	if !f.send(now, r, i, call, out) {
+	if !f.send(now, r, i, kind, out) {
 		if budgeted {
 			f.budget.Refund(now, s.service)
 		}
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/budgeter"
 )
 
 // observeLimit records the limit that an upstream states in a response, and logs when it
@@ -28,27 +29,17 @@
 	return &almondstep.Report{Level: almondstep.ReportInfo, Message: message, Subject: string(u.ID), Cause: cause}
 }
 
-// callKind is why an upstream is called.
-type callKind uint8
-
-const (
-	// requiredCall is a shard's first call, or one after a failed call.
-	requiredCall callKind = iota
-	// hedgeCall is made beside a pending one. It never goes to an upstream that states a
-	// limit, which leaves what such an upstream takes to the calls that need it.
-	hedgeCall
-)
-
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit
-// on calls to a cold one.
-func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind callKind) bool {
+// on calls to a cold one. A hedge never goes to an upstream that states a limit, which leaves
+// what such an upstream takes to the calls that need it.
+func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
 	if !r.route.Allows(u.Region) || s.tried(u) {
 		return false
 	}
 	if !f.rates.Limited(now, u) {
 		return true
 	}
-	return kind == requiredCall && f.rates.Wait(now, u, r.budgetDivisor(s.service)) == 0
+	return kind != budgeter.Hedge && f.rates.Wait(now, u, r.budgetDivisor(s.service)) == 0
 }
 
 // limitWait returns how long a shard that can't be called must wait until the limit of one
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/budgeter"
 )
 
 const (
@@ -21,7 +22,7 @@
 
 // send calls the best upstream not yet tried for a shard; it returns false if there
 // is none. The caller has checked that another call is allowed.
-func (f *Forwarder) send(now almondstep.Instant, r *request, i int, kind callKind, out *[]almondstep.Effect) bool {
+func (f *Forwarder) send(now almondstep.Instant, r *request, i int, kind budgeter.CallKind, out *[]almondstep.Effect) bool {
 	s := &r.shards[i]
 	if f.quarantined(r) {
 		return false
@@ -73,7 +74,7 @@
 
 // choose picks the upstream for a shard's next call. A cold upstream, and one that states
 // a limit, is used only within this daemon's share of its rate of calls.
-func (f *Forwarder) choose(now almondstep.Instant, r *request, s *shard, kind callKind) (*almondstep.Upstream, bool) {
+func (f *Forwarder) choose(now almondstep.Instant, r *request, s *shard, kind budgeter.CallKind) (*almondstep.Upstream, bool) {
 	var overRate []*almondstep.Upstream
 	usable := func(u *almondstep.Upstream) bool {
 		return !slices.Contains(overRate, u) && f.mayCall(now, r, s, u, kind)
@@ -144,7 +145,7 @@
 	if !f.picker.HasLatency(now, u) {
 		usual = r.answerBy
 	}
-	other, ok := f.fastestUntried(now, r, s, hedgeCall)
+	other, ok := f.fastestUntried(now, r, s, budgeter.Hedge)
 	if !ok {
 		return usual
 	}
@@ -161,7 +162,7 @@
 
 // fastestUntried returns the upstream that may be called for a shard and is likely to
 // answer first.
-func (f *Forwarder) fastestUntried(now almondstep.Instant, r *request, s *shard, kind callKind) (*almondstep.Upstream, bool) {
+func (f *Forwarder) fastestUntried(now almondstep.Instant, r *request, s *shard, kind budgeter.CallKind) (*almondstep.Upstream, bool) {
 	var best *almondstep.Upstream
 	var least time.Duration
 	for _, u := range r.directory.Upstreams(s.service) {
