--- a/watcher/crashes_test.go
+++ b/watcher/crashes_test.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// Also in a large fleet of several zones, all daemons refuse the request in time.
+func TestCrashesAddUpInLargeFleet(t *testing.T) {
+	f := newTree(t, 6, 25, 24)
+	for i, daemon := range []int{3, 120, 290} {
+		f.crash(daemon, crasher, fmt.Sprint("i", i))
+	}
+	f.run(quarantineWithin)
+	f.wantQuarantined("three crashes", crasher, true)
+}
+
 // In an outage of the registry each daemon counts by itself, and afterwards what they
 // observed adds up.
 func TestCrashesInRegistryOutageAddUpAfterwards(t *testing.T) {
