Count an upstream's second crash although the registry has its first run

What could be seen: an upstream that restarts under its ID counts once only, as long as the registry still has its earlier start, so a request that crashes it again and again is refused later than it should be. Cause: crashes are told apart by the run that the directory names, which lags behind a restart by up to a heartbeat and an update. Now a disconnect from the same run counts again when the last one is more than 3 s old; within that time, and when several daemons observe it, it is the same crash.

--- a/watcher/crashes.go
+++ b/watcher/crashes.go
@@ -25,6 +25,9 @@
 	// recordInterval the time between two of these writes.
 	recordBatch    = 16
 	recordInterval = 250 * time.Millisecond
+	// minRestartTime is the least time between two crashes of an upstream. A crash later than
+	// that counts again, though the registry may still have the upstream's earlier run.
+	minRestartTime = 3 * time.Second
 	// removalTimeout is the time after which the removal of a record is queued again.
 	removalTimeout = 10 * time.Second
 )
@@ -36,8 +39,10 @@
 	quarantine quarantiner.Quarantine
 	// records holds what the registry has.
 	records map[almondstep.CrashRecord]crashEntry
-	// own lists the records that this daemon has written, oldest first.
-	own []almondstep.CrashRecord
+	// own lists the records that this daemon has written, oldest first. observedAt has, for
+	// these and for those of the registry, when this daemon learned of them.
+	own        []almondstep.CrashRecord
+	observedAt map[almondstep.CrashRecord]almondstep.Instant
 	// toAdd and toRemove are to be written next, from nextAt on; writing is whether a
 	// write is pending.
 	toAdd    []almondstep.CrashRecord
@@ -59,6 +64,7 @@
 	return crashLog{
 		quarantine: quarantiner.Quarantine{Limit: CrashLimit, Duration: CrashMemory, MaxRequests: maxSuspects},
 		records:    make(map[almondstep.CrashRecord]crashEntry),
+		observedAt: make(map[almondstep.CrashRecord]almondstep.Instant),
 		retry:      minAnnounceRetry,
 	}
 }
@@ -68,17 +74,36 @@
 func (w *Watcher) requestCrashed(now almondstep.Instant, e *almondstep.RequestCrashed, out []almondstep.Effect) []almondstep.Effect {
 	l := &w.crashes
 	for _, u := range e.Upstreams {
-		if !l.quarantine.Add(now, e.Fingerprint, u) {
+		r := l.recordOf(now, almondstep.CrashRecord{Fingerprint: e.Fingerprint, Upstream: u})
+		if !l.quarantine.Add(now, r.Fingerprint, r.Upstream) {
 			continue
 		}
-		l.add(almondstep.CrashRecord{Fingerprint: e.Fingerprint, Upstream: u})
-		out = append(out, w.reportCrash(now, e.Fingerprint, "upstream "+string(u)+" crashed under it"))
+		l.add(now, r)
+		out = append(out, w.reportCrash(now, e.Fingerprint, "upstream "+string(r.Upstream)+" crashed under it"))
 	}
 	return w.recordCrashes(now, w.publishAge(out))
 }
 
+// recordOf returns the record of a crash that is observed now: r, or one with a numbered run
+// if r is of an earlier crash.
+//
+// Example: upstream i7@1700000000000 crashes, restarts under its ID, and crashes again before
+// the registry has its new start. The second record is that of i7@1700000000000~2.
+func (l *crashLog) recordOf(now almondstep.Instant, r almondstep.CrashRecord) almondstep.CrashRecord {
+	first := r.Upstream
+	for n := 2; n <= CrashLimit; n++ {
+		at, known := l.observedAt[r]
+		if !known || now.Sub(at) < minRestartTime {
+			return r
+		}
+		r.Upstream = first + almondstep.UpstreamRun("~"+strconv.Itoa(n))
+	}
+	return r
+}
+
 // add queues a record. Beyond maxOwnRecords, this daemon's oldest one is removed.
-func (l *crashLog) add(r almondstep.CrashRecord) {
+func (l *crashLog) add(now almondstep.Instant, r almondstep.CrashRecord) {
+	l.observe(now, r)
 	l.toAdd = append(l.toAdd, r)
 	l.own = append(l.own, r)
 	if len(l.own) > maxOwnRecords {
@@ -92,6 +117,7 @@
 	l.own = slices.DeleteFunc(l.own, same)
 	if i := slices.Index(l.toAdd, r); i >= 0 {
 		l.toAdd = slices.Delete(l.toAdd, i, i+1)
+		l.forget(r)
 		return
 	}
 	if !slices.Contains(l.toRemove, r) {
@@ -189,11 +215,13 @@
 		changed = true
 		if c.Removed {
 			delete(l.records, c.CrashRecord)
+			l.forget(c.CrashRecord)
 			l.quarantine.Remove(now, c.Fingerprint, c.Upstream)
 			continue
 		}
 		if !known {
 			held.removeAt = now.Add(CrashMemory)
+			l.observe(now, c.CrashRecord)
 		}
 		held.revision = c.Revision
 		l.records[c.CrashRecord] = held
@@ -204,6 +232,20 @@
 	return changed, out
 }
 
+// observe records when this daemon first learned of a record.
+func (l *crashLog) observe(now almondstep.Instant, r almondstep.CrashRecord) {
+	if _, known := l.observedAt[r]; !known {
+		l.observedAt[r] = now
+	}
+}
+
+// forget drops when a record was observed, once neither the registry nor this daemon has it.
+func (l *crashLog) forget(r almondstep.CrashRecord) {
+	if _, listed := l.records[r]; !listed && !slices.Contains(l.own, r) {
+		delete(l.observedAt, r)
+	}
+}
+
 // withUnlisted adds the removals of the records that a full read doesn't list.
 func (l *crashLog) withUnlisted(listed []almondstep.CrashChange, revision uint64) []almondstep.CrashChange {
 	kept := make(map[almondstep.CrashRecord]bool, len(listed))
