Clear a suspect request only when an upstream has certainly run it

What could be seen: of a request that crashes servers, one attempt meets a server that fails a part of its requests (500) before it runs them; that answer cleared the request on all daemons, and its crashes counted from the beginning. Cause: any signed answer was taken as proof that a server had survived the request. Now a 5xx doesn't clear it, an answer below 500 does: also 404, the usual answer of some innocent requests.

--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -39,7 +39,7 @@
 	if now >= r.deadline {
 		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
 	}
-	if f.stopsTooSoon(now, r) {
+	if f.stopsTooSoon(r) {
 		return append(out, refuse(e.ID, almondstep.CodeStopping, stoppingRetryAfter))
 	}
 	r.capDeadline(f.view.AnswerBy())
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -6,12 +6,12 @@
 	"almondstep"
 )
 
-// fingerprintOf returns the request's fingerprint, which is computed at its first use.
-func (r *request) fingerprintOf() almondstep.Fingerprint {
-	if r.fingerprint == 0 {
-		r.fingerprint = r.message.Fingerprint()
+// fingerprint returns the request's fingerprint, which is computed at its first use.
+func (r *request) fingerprint() almondstep.Fingerprint {
+	if r.knownFingerprint == 0 {
+		r.knownFingerprint = r.message.Fingerprint()
 	}
-	return r.fingerprint
+	return r.knownFingerprint
 }
 
 // knownCrashes returns the number of upstreams that are known, to all daemons, to have
@@ -20,26 +20,32 @@
 	if !f.view.HasSuspects() {
 		return 0
 	}
-	return f.view.Crashes(r.fingerprintOf())
+	return f.view.Crashes(r.fingerprint())
 }
 
 // quarantined reports whether all daemons refuse the request.
 func (f *Forwarder) quarantined(r *request) bool {
-	return f.view.HasSuspects() && f.view.Quarantined(r.fingerprintOf())
+	return f.view.HasSuspects() && f.view.Quarantined(r.fingerprint())
 }
 
 // refuseQuarantined refuses a request that is in quarantine.
 func (f *Forwarder) refuseQuarantined(r *request) *almondstep.ReplyRequest {
 	refusal := refuse(r.id, almondstep.CodeQuarantined, f.crashMemory)
 	refusal.Reply.Trace = r.trace
-	refusal.Reply.Trace.Fingerprint = r.fingerprintOf()
+	refusal.Reply.Trace.Fingerprint = r.fingerprint()
 	return refusal
 }
 
-// survived reports whether an upstream has answered the request, be it with a failure.
+// firstServerFailure is the lowest status of a failure of the upstream itself.
+const firstServerFailure = 500
+
+// survived reports whether an upstream has answered the request. A failure of the upstream
+// itself (5xx) doesn't count, since it may have failed before it ran the request.
 func (r *request) survived() bool {
-	failed := func(s shard) bool { return s.failure != nil }
-	return r.included() > 0 || slices.ContainsFunc(r.shards, failed)
+	rejected := func(s shard) bool {
+		return s.failure != nil && s.failure.Status < firstServerFailure
+	}
+	return r.included() > 0 || slices.ContainsFunc(r.shards, rejected)
 }
 
 // suspectsCause reports whether so many upstreams have crashed under the request, here
@@ -95,7 +101,7 @@
 func (r *request) addDisconnected(u almondstep.UpstreamRun) {
 	t := &r.trace
 	if len(t.Disconnected) < maxDisconnected {
-		t.Fingerprint = r.fingerprintOf()
+		t.Fingerprint = r.fingerprint()
 		t.Disconnected = append(t.Disconnected, u)
 	}
 }
@@ -109,7 +115,7 @@
 		return out
 	case r.survived():
 		if f.knownCrashes(r) > 0 {
-			return append(out, &almondstep.RequestSurvived{Fingerprint: r.fingerprintOf()})
+			return append(out, &almondstep.RequestSurvived{Fingerprint: r.fingerprint()})
 		}
 		return out
 	case len(r.trace.Disconnected) == 0:
@@ -119,5 +125,5 @@
 	if f.crashLimit > 0 {
 		crashed = crashed[:min(f.crashLimit, len(crashed))]
 	}
-	return append(out, &almondstep.RequestCrashed{Fingerprint: r.fingerprintOf(), Upstreams: crashed})
+	return append(out, &almondstep.RequestCrashed{Fingerprint: r.fingerprint(), Upstreams: crashed})
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -35,9 +35,9 @@
 	regional *regionalPart
 	// timerAt is when the timer that is set expires; 0 if none is set.
 	timerAt almondstep.Instant
-	// fingerprint is 0 until it is needed.
-	fingerprint almondstep.Fingerprint
-	trace       almondstep.RequestTrace
+	// knownFingerprint is 0 until it is needed.
+	knownFingerprint almondstep.Fingerprint
+	trace            almondstep.RequestTrace
 }
 
 // shard is the part of a request that one service answers. A request that isn't
--- a/forwarder/stopping.go
+++ b/forwarder/stopping.go
@@ -14,7 +14,7 @@
 // stopsTooSoon reports whether the daemon shuts down before a request that arrives now can
 // be expected to be answered. A request that isn't idempotent can't be sent again once it
 // has run, so it needs all the time that it may take.
-func (f *Forwarder) stopsTooSoon(now almondstep.Instant, r *request) bool {
+func (f *Forwarder) stopsTooSoon(r *request) bool {
 	answerBy := f.view.AnswerBy()
 	if answerBy == 0 {
 		return false
@@ -23,7 +23,7 @@
 	if r.route.Idempotent() {
 		needed = r.answerBy
 	}
-	return needed > answerBy || now >= answerBy
+	return needed > answerBy
 }
 
 // capDeadline makes the request be answered before the daemon has shut down.
