Split what follows the end of a call, and the log of crashes

forwarder.callEnded first records what the end of a call says about its upstream, in a function of its own. In watcher, the held crashes and the queue of records stand apart from the events. No behaviour changed.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -17,19 +17,7 @@
 	}
 	delete(f.calls, e.Call)
 	s := &r.shards[ref.shard]
-	c := &s.calls[ref.call]
-	c.ended, c.result = true, e.Result
-	r.openCalls--
-	if backoff := f.picker.Ended(now, c.upstream.ID, e); backoff > 0 {
-		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
-	}
-	out = f.observeLimit(now, r, c.upstream, e, out)
-	if e.Disconnected {
-		r.addDisconnected(c.upstream.Run())
-	}
-	if c.budgeted && e.Result == almondstep.CallRefused {
-		f.budget.Refund(now, s.service)
-	}
+	out = f.recordCallEnded(now, r, s, &s.calls[ref.call], e, out)
 	if r.answered || s.settled {
 		return f.forget(r, out)
 	}
@@ -48,6 +36,22 @@
 	return f.proceed(now, r, out)
 }
 
+// recordCallEnded records what the end of a call says about its upstream and its request.
+func (f *Forwarder) recordCallEnded(now almondstep.Instant, r *request, s *shard, c *call, e *almondstep.CallEnded, out []almondstep.Effect) []almondstep.Effect {
+	c.ended, c.result = true, e.Result
+	r.openCalls--
+	if backoff := f.picker.Ended(now, c.upstream.ID, e); backoff > 0 {
+		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
+	}
+	if e.Disconnected {
+		r.addDisconnected(c.upstream.Run())
+	}
+	if c.budgeted && e.Result == almondstep.CallRefused {
+		f.budget.Refund(now, s.service)
+	}
+	return f.observeLimit(now, r, c.upstream, e, out)
+}
+
 // backoffReport returns the log line for an upstream or a delegate that enters backoff
 // because of a call of r.
 func backoffReport(what, subject, cause string, r *request, backoff time.Duration) *almondstep.Report {
--- a/watcher/crashes.go
+++ b/watcher/crashes.go
@@ -1,74 +1,12 @@
 package watcher
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
-	"time"
 
 	"almondstep"
-	"almondstep/quarantiner"
 )
 
-const (
-	// CrashLimit is the number of upstreams that may crash under a request before all
-	// daemons refuse it.
-	CrashLimit = 3
-	// CrashMemory is how long a crash counts and a request is refused.
-	CrashMemory = 10 * time.Minute
-	// maxSuspects bounds the requests that are remembered.
-	maxSuspects = 1024
-	// maxOwnRecords bounds the records that one daemon has in the registry: it replaces its
-	// oldest ones.
-	maxOwnRecords = 64
-	// recordBatch is the number of records that are written or removed at a time, and
-	// recordInterval the time between two of these writes.
-	recordBatch    = 16
-	recordInterval = 250 * time.Millisecond
-	// minRestartTime is the least time between two crashes of an upstream. A crash later than
-	// that counts again, though the registry may still have the upstream's earlier run.
-	minRestartTime = 3 * time.Second
-	// removalTimeout is the time after which the removal of a record is queued again.
-	removalTimeout = 10 * time.Second
-)
-
-// crashLog holds under which requests upstreams crashed, as observed by this daemon and
-// as recorded in the registry. There the records outlive the daemons, and reach all of
-// them with the other registry updates.
-type crashLog struct {
-	quarantine quarantiner.Quarantine
-	// records holds what the registry has.
-	records map[almondstep.CrashRecord]crashEntry
-	// own lists the records that this daemon has written, oldest first. observedAt has, for
-	// these and for those of the registry, when this daemon learned of them.
-	own        []almondstep.CrashRecord
-	observedAt map[almondstep.CrashRecord]almondstep.Instant
-	// toAdd and toRemove are to be written next, from nextAt on; writing is whether a
-	// write is pending.
-	toAdd    []almondstep.CrashRecord
-	toRemove []almondstep.CrashRecord
-	nextAt   almondstep.Instant
-	writing  bool
-	// retry is the delay after which the next failed write is repeated.
-	retry time.Duration
-}
-
-// crashEntry is a record as the registry has it.
-type crashEntry struct {
-	revision uint64
-	// removeAt is when the record has lost its meaning.
-	removeAt almondstep.Instant
-}
-
-func newCrashLog() crashLog {
-	return crashLog{
-		quarantine: quarantiner.Quarantine{Limit: CrashLimit, Duration: CrashMemory, MaxRequests: maxSuspects},
-		records:    make(map[almondstep.CrashRecord]crashEntry),
-		observedAt: make(map[almondstep.CrashRecord]almondstep.Instant),
-		retry:      minAnnounceRetry,
-	}
-}
-
 // requestCrashed counts the crashes that a traffic thread has observed, and has them
 // recorded in the registry.
 func (w *Watcher) requestCrashed(now almondstep.Instant, e *almondstep.RequestCrashed, out []almondstep.Effect) []almondstep.Effect {
@@ -84,47 +22,6 @@
 	return w.recordCrashes(now, w.publishAge(out))
 }
 
-// recordOf returns the record of a crash that is observed now: r, or one with a numbered run
-// if r is of an earlier crash.
-//
-// Example: upstream i7@1700000000000 crashes, restarts under its ID, and crashes again before
-// the registry has its new start. The second record is that of i7@1700000000000~2.
-func (l *crashLog) recordOf(now almondstep.Instant, r almondstep.CrashRecord) almondstep.CrashRecord {
-	first := r.Upstream
-	for n := 2; n <= CrashLimit; n++ {
-		at, known := l.observedAt[r]
-		if !known || now.Sub(at) < minRestartTime {
-			return r
-		}
-		r.Upstream = first + almondstep.UpstreamRun("~"+strconv.Itoa(n))
-	}
-	return r
-}
-
-// add queues a record. Beyond maxOwnRecords, this daemon's oldest one is removed.
-func (l *crashLog) add(now almondstep.Instant, r almondstep.CrashRecord) {
-	l.observe(now, r)
-	l.toAdd = append(l.toAdd, r)
-	l.own = append(l.own, r)
-	if len(l.own) > maxOwnRecords {
-		l.remove(l.own[0])
-	}
-}
-
-// remove queues the removal of a record, unless it hasn't been written yet.
-func (l *crashLog) remove(r almondstep.CrashRecord) {
-	same := func(o almondstep.CrashRecord) bool { return o == r }
-	l.own = slices.DeleteFunc(l.own, same)
-	if i := slices.Index(l.toAdd, r); i >= 0 {
-		l.toAdd = slices.Delete(l.toAdd, i, i+1)
-		l.forget(r)
-		return
-	}
-	if !slices.Contains(l.toRemove, r) {
-		l.toRemove = append(l.toRemove, r)
-	}
-}
-
 // requestSurvived clears a request that an upstream has answered.
 func (w *Watcher) requestSurvived(now almondstep.Instant, e *almondstep.RequestSurvived, out []almondstep.Effect) []almondstep.Effect {
 	l := &w.crashes
@@ -139,27 +36,6 @@
 	return w.recordCrashes(now, w.publishAge(out))
 }
 
-// of lists the records of a request: those in the registry, and those to be written.
-func (l *crashLog) of(f almondstep.Fingerprint) []almondstep.CrashRecord {
-	var list []almondstep.CrashRecord
-	for r := range l.records {
-		if r.Fingerprint == f {
-			list = append(list, r)
-		}
-	}
-	for _, r := range l.own {
-		if r.Fingerprint == f && !slices.Contains(list, r) {
-			list = append(list, r)
-		}
-	}
-	slices.SortFunc(list, byUpstream)
-	return list
-}
-
-func byUpstream(a, b almondstep.CrashRecord) int {
-	return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Fingerprint, b.Fingerprint))
-}
-
 // recordCrashes writes what is queued, in batches.
 func (w *Watcher) recordCrashes(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	l := &w.crashes
@@ -174,12 +50,6 @@
 	return append(out, f)
 }
 
-// takeFirst splits a list after at most n elements.
-func takeFirst(list []almondstep.CrashRecord, n int) (first, rest []almondstep.CrashRecord) {
-	n = min(n, len(list))
-	return slices.Clone(list[:n]), slices.Clone(list[n:])
-}
-
 // crashesRecorded queues again what couldn't be written.
 func (w *Watcher) crashesRecorded(now almondstep.Instant, e *almondstep.CrashesRecorded, out []almondstep.Effect) []almondstep.Effect {
 	l := &w.crashes
@@ -232,35 +102,6 @@
 	return changed, out
 }
 
-// observe records when this daemon first learned of a record.
-func (l *crashLog) observe(now almondstep.Instant, r almondstep.CrashRecord) {
-	if _, known := l.observedAt[r]; !known {
-		l.observedAt[r] = now
-	}
-}
-
-// forget drops when a record was observed, once neither the registry nor this daemon has it.
-func (l *crashLog) forget(r almondstep.CrashRecord) {
-	if _, listed := l.records[r]; !listed && !slices.Contains(l.own, r) {
-		delete(l.observedAt, r)
-	}
-}
-
-// withUnlisted adds the removals of the records that a full read doesn't list.
-func (l *crashLog) withUnlisted(listed []almondstep.CrashChange, revision uint64) []almondstep.CrashChange {
-	kept := make(map[almondstep.CrashRecord]bool, len(listed))
-	for _, c := range listed {
-		kept[c.CrashRecord] = true
-	}
-	all := slices.Clone(listed)
-	for r, held := range l.records {
-		if !kept[r] && held.revision <= revision {
-			all = append(all, almondstep.CrashChange{CrashRecord: r, Removed: true, Revision: revision})
-		}
-	}
-	return all
-}
-
 // expireCrashes forgets crashes older than CrashMemory. The daemons that read the registry
 // itself remove the records.
 func (w *Watcher) expireCrashes(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
@@ -274,22 +115,6 @@
 	return out
 }
 
-// removeExpired queues the removal of the records that have lost their meaning. If that
-// isn't confirmed within removalTimeout, it is queued again.
-func (l *crashLog) removeExpired(now almondstep.Instant) {
-	var expired []almondstep.CrashRecord
-	for r, held := range l.records {
-		if now >= held.removeAt {
-			expired = append(expired, r)
-		}
-	}
-	slices.SortFunc(expired, byUpstream)
-	for _, r := range expired {
-		l.remove(r)
-		l.records[r] = crashEntry{revision: l.records[r].revision, removeAt: now.Add(removalTimeout)}
-	}
-}
-
 // reportCrash logs that a crash counts against a request, as a warning if the request is
 // refused from now on.
 func (w *Watcher) reportCrash(now almondstep.Instant, f almondstep.Fingerprint, cause string) *almondstep.Report {
