Keep a refused request refused, however many suspects come after it

What could be seen: while many requests lose their upstreams, a request that is refused because it crashes upstreams is forgotten early. Cause: the bounds on what is remembered, 64 records a daemon in the registry and 1,024 requests in memory, dropped the oldest, which is the refused one. Now a record or a request that isn't refused goes first.

--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -27,7 +27,8 @@
 	Limit int
 	// Duration is how long a crash counts, and how long a quarantine lasts.
 	Duration time.Duration
-	// MaxRequests bounds the requests that are remembered; the oldest is dropped.
+	// MaxRequests bounds the requests that are remembered; the oldest is dropped, one in
+	// quarantine only if all are.
 	MaxRequests int
 
 	// suspects are in the order of their first crash, oldest first.
@@ -145,7 +146,8 @@
 		q.byFingerprint = make(map[almondstep.Fingerprint]*suspect)
 	}
 	if len(q.suspects) >= q.MaxRequests {
-		q.drop(q.suspects[0].fingerprint)
+		free := slices.IndexFunc(q.suspects, func(s *suspect) bool { return s.until == 0 })
+		q.drop(q.suspects[max(0, free)].fingerprint)
 	}
 	s := &suspect{fingerprint: f}
 	q.suspects = append(q.suspects, s)
--- a/watcher/crash_log.go
+++ b/watcher/crash_log.go
@@ -19,7 +19,7 @@
 	// maxSuspects bounds the requests that are remembered.
 	maxSuspects = 1024
 	// maxOwnRecords bounds the records that one daemon has in the registry: it replaces its
-	// oldest ones.
+	// oldest ones, those of refused requests last.
 	maxOwnRecords = 64
 	// recordBatch is the number of records that are written or removed at a time, and
 	// recordInterval the time between two of these writes.
@@ -86,13 +86,14 @@
 	return r
 }
 
-// add queues a record. Beyond maxOwnRecords, this daemon's oldest one is removed.
+// add queues a record. Beyond maxOwnRecords, one of this daemon's is removed.
 func (l *crashLog) add(now almondstep.Instant, r almondstep.CrashRecord) {
 	l.observe(now, r)
 	l.toAdd = append(l.toAdd, r)
 	l.own = append(l.own, r)
 	if len(l.own) > maxOwnRecords {
-		l.remove(l.own[0])
+		isFree := func(r almondstep.CrashRecord) bool { return l.quarantine.Crashes()[r.Fingerprint] < CrashLimit }
+		l.remove(l.own[max(0, slices.IndexFunc(l.own, isFree))])
 	}
 }
 
--- a/watcher/crashes_test.go
+++ b/watcher/crashes_test.go
@@ -202,6 +202,21 @@
 	}
 }
 
+// However many requests are suspected after it, a refused request stays refused.
+func TestRefusedRequestOutlivesManySuspects(t *testing.T) {
+	f := newFleet(t, 3)
+	for i := range 3 {
+		f.crash(0, crasher, fmt.Sprint("i", i))
+	}
+	f.run(quarantineWithin)
+	for i := range 3000 {
+		f.crash(0, crasher+1+almondstep.Fingerprint(i), "i1")
+		f.run(20 * time.Millisecond)
+	}
+	f.run(quarantineWithin)
+	f.wantQuarantined("after many suspects", crasher, true)
+}
+
 // Once random failures are over, all daemons refuse just the requests under which enough
 // different upstreams crashed.
 func TestCrashesOverRandomFailures(t *testing.T) {
