Review: a request under which servers fall silent is sent on and on

A server that crashes silently, as a machine that loses power, isn't counted against the request that it ran.

--- a/review/rig/leaving.go
+++ b/review/rig/leaving.go
@@ -57,7 +57,7 @@
 	}
 	lv.server = servers[0]
 	lv.server.work = fastWork
-	f.store.put(f.names.Config, fill("config.json", map[string]any{"Version": 7, "Service": "dispatch-counter"}))
+	f.store.put(f.names.Config, fill("config.json", map[string]any{"Version": 7, "Service": "dispatch-counter", "Kind": "non_idempotent"}))
 	if err := f.startDaemons(3); err != nil {
 		return false, err
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,7 @@
 type play func(f *fleet, trouble bool) (broken bool, err error)
 
 func cases() map[string]play {
-	return map[string]play{"refused": refusedCase, "leaving": leavingCase}
+	return map[string]play{"refused": refusedCase, "leaving": leavingCase, "crasher": crasherCase}
 }
 
 // main plays the case named by the first argument in the folder named by the second.
--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return false, err
 	}
-	f.store.put(f.names.Config, fill("config.json", map[string]any{"Version": 7, "Service": "dispatch-counter"}))
+	f.store.put(f.names.Config, fill("config.json", map[string]any{"Version": 7, "Service": "dispatch-counter", "Kind": "non_idempotent"}))
 	if err := f.startDaemons(3); err != nil {
 		return false, err
 	}
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -35,6 +35,8 @@
 	// one.
 	respond func(s *server, request string) *response
 	onRun   func(r run)
+	// crashOn, if set, reports whether a request to a path has crashed the server.
+	crashOn func(s *server, path string) bool
 
 	listener net.Listener
 	slotsUse chan struct{}
@@ -45,6 +47,8 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	closed bool
+	// dark is closed when the server is back; nil unless it is silent.
+	dark chan struct{}
 }
 
 // response is a server's response.
@@ -79,7 +83,12 @@
 				_ = c.Close()
 			}
 			s.conns[c] = true
+			dark := s.dark
 			s.mu.Unlock()
+			if dark != nil {
+				// What arrives at a silent server meets nobody.
+				continue
+			}
 			go s.serve(c)
 		}
 	}()
@@ -97,6 +106,53 @@
 	}
 }
 
+// silence returns a channel that is closed when a silent server is back; nil if it isn't
+// silent.
+func (s *server) silence() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dark
+}
+
+// crash ends the server's process and starts it again after downtime. A loud one closes its
+// connections at once, as the system of a process that crashed does. A silent one sends
+// nothing more, as a machine that crashed; when it is back, it knows nothing of the old
+// connections and resets them. It returns false if the server is down already.
+func (s *server) crash(loud bool, downtime time.Duration, back func()) bool {
+	s.mu.Lock()
+	if s.dark != nil || s.closed {
+		s.mu.Unlock()
+		return false
+	}
+	dark := make(chan struct{})
+	s.dark = dark
+	if loud {
+		s.resetConns()
+	}
+	s.mu.Unlock()
+	time.AfterFunc(downtime, func() {
+		s.mu.Lock()
+		s.resetConns()
+		s.dark = nil
+		s.born = time.Now().UnixMilli()
+		s.mu.Unlock()
+		close(dark)
+		back()
+	})
+	return true
+}
+
+// resetConns resets all connections. The caller holds mu.
+func (s *server) resetConns() {
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+		delete(s.conns, c)
+	}
+}
+
 // entry is the server's entry in the store.
 func (s *server) entry(zone, state string) []byte {
 	return fill("entry.json", map[string]any{
@@ -125,6 +181,10 @@
 		if answer.cut {
 			return
 		}
+		if dark := s.silence(); dark != nil {
+			<-dark
+			return
+		}
 		if _, err := c.Write(s.encode(answer)); err != nil {
 			return
 		}
@@ -178,7 +238,17 @@
 		return notRun
 	}
 	defer func() { <-s.slotsUse }()
+	if dark := s.silence(); dark != nil {
+		<-dark
+		return &response{cut: true}
+	}
 	s.onRun(run{server: s.id, request: id, at: time.Now()})
+	if s.crashOn != nil && s.crashOn(s, r.URL.Path) {
+		if dark := s.silence(); dark != nil {
+			<-dark
+		}
+		return &response{cut: true}
+	}
 	time.Sleep(s.work)
 	if s.respond != nil {
 		if a := s.respond(s, id); a != nil {
