--- a/review/rig/crasher.go
+++ b/review/rig/crasher.go
@@ -18,7 +18,7 @@
 	crashEvery  = time.Second
 	crasherFrom = 3 * time.Second
 	crasherEnd  = 45 * time.Second
-	// stability is stability-window-ms of the settings.
+	// stability is the stability window of the settings.
 	stability = 5 * time.Second
 	// crashesKnown is the number of crashes after which the rule counts, and mayFollow the
 	// number of retries that may reach servers after that.
