--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,13 +25,14 @@
 	return map[string]play{"refused": refusedCase, "leaving": leavingCase, "crasher": crasherCase}
 }
 
-// main plays the case named by the first argument in the folder named by the second.
+// main plays the case named by the first argument, and writes the record named by the
+// second.
 func main() { os.Exit(start()) }
 
 func start() int {
 	const wantArgs = 3
 	if len(os.Args) != wantArgs || cases()[os.Args[1]] == nil {
-		_, _ = os.Stderr.WriteString("usage: rig CASE FOLDER\n")
+		_, _ = os.Stderr.WriteString("usage: rig CASE RECORD\n")
 		return exitCouldNot
 	}
 	f, err := newFleet(os.Args[2])
