Leave out upstreams that say in their answers that they leave

Cause: nothing decoded the field. Only the registry told that an upstream leaves, and that says nothing while it is down.

Change: the field is decoded from every answer of the server itself. The run gets no first call, retry or hedge from then on, whatever the registry or a peer's update says; a new run at the ID or the address starts afresh. Replies of delegates and regional delegates name the runs, since the daemon that passes the answer on is told by it too.

Why it works: the daemon that has passed on an answer with the field has received it, itself or through a delegate, so it needs no other source.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -46,6 +46,9 @@
 	if e.Disconnected {
 		r.addDisconnected(c.upstream.Run())
 	}
+	if e.Leaving {
+		out = f.markLeaving(now, r, []almondstep.UpstreamRun{c.upstream.Run()}, out)
+	}
 	if c.budgeted && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
 	}
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -68,7 +68,10 @@
 	if backoff := f.delegates.ended(now, to, e.Call, e.Reply != nil); backoff > 0 {
 		out = append(out, backoffReport(what, string(to), e.Err, r, backoff))
 	}
-	return out
+	if e.Reply == nil {
+		return out
+	}
+	return f.markLeaving(now, r, e.Reply.Trace.Leaving, out)
 }
 
 // cancelGather cancels a call to a delegate or a regional delegate. A delegate that
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -41,6 +41,7 @@
 	balancers map[almondstep.RouteName]*targetBalancer
 	delegates delegatePool
 	rates     budgeter.RateLimiter
+	leaving   leavingRuns
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -99,6 +100,7 @@
 			f.picker.UpdateDirectory(d)
 			f.delegates.retain(d)
 			f.rates.Retain(d)
+			f.leaving.retain(now, d)
 		}
 		return f.capDeadlines(now, out)
 	}
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -33,7 +33,7 @@
 // on calls to a cold one. A hedge never goes to an upstream that states a limit, which leaves
 // what such an upstream takes to the calls that need it.
 func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
-	if !r.route.Allows(u.Region) || s.tried(u) {
+	if !r.route.Allows(u.Region) || s.tried(u) || f.leaving.has(u) {
 		return false
 	}
 	if !f.rates.Limited(now, u) {
@@ -47,7 +47,7 @@
 func (f *Forwarder) limitWait(now almondstep.Instant, r *request, s *shard) time.Duration {
 	least := time.Duration(0)
 	for _, u := range r.directory.Upstreams(s.service) {
-		if !r.route.Allows(u.Region) || !f.rates.Limited(now, u) {
+		if !r.route.Allows(u.Region) || f.leaving.has(u) || !f.rates.Limited(now, u) {
 			continue
 		}
 		wait := f.rates.Wait(now, u, r.budgetDivisor(s.service))
--- a/message_request.go
+++ b/message_request.go
@@ -127,6 +127,9 @@
 	// Disconnected is set if the upstream ended the connection after the request was sent
 	// and before its response was complete.
 	Disconnected bool `json:"disconnected,omitempty"`
+	// Leaving is set if the upstream says in its response that it leaves: it gets no new
+	// requests.
+	Leaving bool `json:"leaving,omitempty"`
 	// Response is the upstream's response, whatever its status; nil if there is none.
 	Response *ResponseMessage `json:"response,omitempty"`
 	// Load is nil if the upstream didn't report it.
@@ -208,6 +211,9 @@
 	// Disconnected lists the first few upstreams that ended the connection while they had
 	// the request.
 	Disconnected []UpstreamRun `json:"disconnected,omitempty"`
+	// Leaving lists the upstreams that said in their answers that they leave. A delegate's
+	// reply passes them on.
+	Leaving []UpstreamRun `json:"leaving,omitempty"`
 	// Missing lists a few of the shards that are not included, with their results.
 	Missing []MissingPart `json:"missing,omitempty"`
 	Took    time.Duration `json:"took"`
