Bound the memory of all that others send, not only of upstreams' bodies

What operators saw: a faulty server sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory, and the requests of its other clients ended with it.

Cause: each head and message had a bound, but only the bodies of upstreams' responses were added up. A head of short lines takes 20 times its bytes in net/http's map, so 300 upstreams at once took 379 MB in a test; the smallest machines have 184 MB.

Evidence: the same number of endless bodies stays within its budget, heads grow with the number of upstreams and lines. The list of all places where a daemon reads from others showed the same for clients' heads (87 MB when the test gives up) and bodies (199 MB), other daemons' requests and responses (62 to 68 MB in a tenth of a second), the store's answers, and responses that clients don't read (241 MB).

Change: package rationer has a budget for each kind of sender, in percent of the machine's memory. What is read reserves memory as it arrives; who would exceed the budget is cut off at once, and the call may be tried elsewhere. The longest messages are refused first, and a quarter is kept for those of up to 16 KiB. Parts of a request over shards keep no header fields.

Why it works: the sum of the budgets is a fixed part of the memory, whoever sends and on however many connections; the part for short messages lets ordinary ones through while a few senders misbehave.

--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -29,6 +29,7 @@
 
 	"almondstep"
 	"almondstep/merger"
+	"almondstep/rationer"
 )
 
 const (
@@ -42,8 +43,8 @@
 	// DefaultMaxRecordsBytes bounds the body of a response of which only the greatest
 	// records are needed (SendCall.Records).
 	DefaultMaxRecordsBytes = 1 << 20
-	// DefaultMaxBufferedBytes bounds the memory of the bodies of all responses that are being
-	// read.
+	// DefaultMaxBufferedBytes bounds the memory of the heads and bodies of all responses that
+	// are being read.
 	DefaultMaxBufferedBytes = 32 << 20
 	// evictAfter is how long a pool is kept after its last call began.
 	evictAfter = time.Minute
@@ -67,7 +68,7 @@
 	mu        sync.Mutex
 	pools     map[poolKey]*pool
 	lastSweep time.Time
-	memory    memoryBudget
+	memory    rationer.Budget
 }
 
 var _ almondstep.Exchanger = (*Client)(nil)
@@ -89,7 +90,7 @@
 		if c.Logger == nil {
 			c.Logger = hclog.NewNullLogger()
 		}
-		c.memory.free = c.MaxBufferedBytes
+		c.memory.Limit = c.MaxBufferedBytes
 		c.pools = make(map[poolKey]*pool)
 		c.lastSweep = time.Now()
 	})
@@ -174,6 +175,7 @@
 		ended.Response = nil
 	case ended.Result == almondstep.CallDone && call.Records > 0:
 		trim(got.response, call.Records)
+		got.response.Header = nil
 	}
 	if !got.reusable || ended.Result == almondstep.CallInvalidResponse || ended.Result == almondstep.CallMisdirected {
 		p.drop(cn)
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"almondstep"
+	"almondstep/rationer"
 )
 
 // errMalformed marks the errors of a response that isn't valid HTTP, has an incomplete
@@ -61,7 +62,8 @@
 }
 
 func newConn(raw net.Conn, c *Client) *conn {
-	limited := &limitedReader{reader: raw, remaining: maxHeadBytes}
+	limited := &limitedReader{reader: raw, head: rationer.Head{Budget: &c.memory}}
+	limited.beginHead()
 	cn := &conn{Conn: raw, client: c, reader: bufio.NewReader(limited), limited: limited}
 	cn.readAt.Store(time.Now().UnixNano())
 	cn.idleTimeout.Store(int64(c.IdleTimeout))
@@ -106,6 +108,7 @@
 // read reads responses until the connection fails or can't be reused. It closes the
 // connection if anything, or its end, is received while no response is expected.
 func (cn *conn) read() {
+	defer cn.limited.head.Release()
 	for {
 		_, err := cn.reader.Peek(1)
 		cn.mu.Lock()
@@ -117,7 +120,7 @@
 			return
 		}
 		if err != nil {
-			p.done <- received{err: err}
+			p.done <- received{err: cn.mark(err)}
 			return
 		}
 		cn.readAt.Store(time.Now().UnixNano())
@@ -132,20 +135,18 @@
 
 // readResponse reads one whole response. It stops reading one that exceeds a limit.
 func (cn *conn) readResponse(p *pending) received {
+	defer cn.limited.beginHead()
 	resp, err := cn.readFinalHead(p.method)
 	if err != nil {
 		return received{err: errors.Mark(err, errMalformed)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	cn.limited.remaining = maxHeadBytes
-	whole, err := cn.client.memory.readBody(body{Reader: resp.Body, limited: cn.limited}, resp.ContentLength, p.maxBodyBytes)
-	// The next response's head may arrive at any time.
-	cn.limited.remaining = maxHeadBytes
+	cn.limited.beginBody()
+	memory := &cn.client.memory
+	whole, held, err := memory.ReadAll(body{Reader: resp.Body, limited: cn.limited}, resp.ContentLength, p.maxBodyBytes)
+	defer memory.Release(held)
 	if err != nil {
-		if !cn.limited.failed {
-			err = errors.Mark(err, errMalformed)
-		}
-		return received{err: err}
+		return received{err: cn.mark(err)}
 	}
 	cn.keepAlive(resp.Header.Get("Keep-Alive"))
 	return received{
@@ -154,6 +155,14 @@
 	}
 }
 
+// mark marks an error as errMalformed unless the connection itself failed or ended.
+func (cn *conn) mark(err error) error {
+	if cn.limited.failed {
+		return err
+	}
+	return errors.Mark(err, errMalformed)
+}
+
 // readFinalHead reads the head of the final response and skips interim responses.
 func (cn *conn) readFinalHead(method string) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -131,17 +131,7 @@
 	c.MaxBufferedBytes = held
 	runtime.GC()
 	before := heapBytes()
-	var endlessCalls sync.WaitGroup
-	for range calls {
-		endlessCalls.Go(func() {
-			cl := newCall(&upstream{addr: u.addr})
-			cl.Connections = calls
-			cl.Timeout = 20 * time.Second
-			if got, want := exchange(t, c, cl).Result, almondstep.CallInvalidResponse; got != want {
-				t.Errorf("got %v, want %v", got, want)
-			}
-		})
-	}
+	endlessCalls := exchangeEndless(t, c, u.addr, calls, 20*time.Second)
 	for range 20 {
 		if got, want := exchange(t, c, newCall(short)).Result, almondstep.CallDone; got != want {
 			t.Errorf("a short answer: got %v, want %v", got, want)
@@ -157,6 +147,94 @@
 	}
 }
 
+// Guards against a daemon that runs out of memory: many upstreams at once send heads of short
+// lines, to just under the bound of one head, and then a line every now and then. Together
+// they hold no more than the memory limit, and heads of ordinary size are still read.
+func TestEndlessHeadsShareMemoryBudget(t *testing.T) {
+	const (
+		calls = 300
+		held  = 4 << 20
+		// most leaves room for the test's own buffers and for garbage not yet collected.
+		most = 64 << 20
+	)
+	head := []string{"HTTP/1.1 200 OK\r\nKey: KEY\r\n"}
+	for i, n := 0, len(head[0]); n < 60<<10; i++ {
+		line := fmt.Sprintf("X%d:\r\n", i)
+		head = append(head, line)
+		n += len(line)
+	}
+	u := serveSlowly(t, strings.Join(head, ""), "X:\r\n")
+	ordinary := serve(t, func(_ int, key string) string {
+		return strings.Replace(reply(key, "lots"), "\r\n\r\n", "\r\n"+strings.Repeat("A: b\r\n", 30)+"\r\n", 1)
+	})
+	c := newClient(t)
+	c.MaxBufferedBytes = held
+	runtime.GC()
+	before := heapBytes()
+	endlessCalls := exchangeEndless(t, c, u, calls, 3*time.Second)
+	for range 40 {
+		if got, want := exchange(t, c, newCall(ordinary)).Result, almondstep.CallDone; got != want {
+			t.Errorf("an ordinary head: got %v, want %v", got, want)
+		}
+		if got := heapBytes() - before; got > most {
+			t.Errorf("got %d bytes more in use, want at most %d", got, most)
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	endlessCalls.Wait()
+}
+
+// serveSlowly serves connections on which each request gets a start at once, and then a text
+// every 20 ms until the client closes the connection.
+func serveSlowly(t *testing.T, start, repeated string) almondstep.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	serveConn := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, start)
+		for err == nil {
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(c, repeated)
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveConn(c)
+		}
+	}()
+	return almondstep.Address(l.Addr().String())
+}
+
+// exchangeEndless makes a number of calls at once to an upstream whose responses have no end,
+// each of which must end as an invalid response.
+func exchangeEndless(t *testing.T, c *exchanger.Client, addr almondstep.Address, calls int, timeout time.Duration) *sync.WaitGroup {
+	t.Helper()
+	var running sync.WaitGroup
+	for range calls {
+		running.Go(func() {
+			cl := newCall(&upstream{addr: addr})
+			cl.Connections = calls
+			cl.Timeout = timeout
+			if got, want := exchange(t, c, cl).Result, almondstep.CallInvalidResponse; got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+	return &running
+}
+
 // heapBytes is the size of the allocated heap objects, in bytes.
 func heapBytes() int64 {
 	var m runtime.MemStats
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -12,6 +12,7 @@
 
 	"almondstep"
 	"almondstep/messenger/peerpb"
+	"almondstep/rationer"
 )
 
 const (
@@ -29,6 +30,8 @@
 type Client struct {
 	// TLS is the certificate and the authorities; nil disables TLS.
 	TLS *tls.Config
+	// Budget bounds the memory of the responses that are being read; nil doesn't.
+	Budget *rationer.Budget
 	// Sent, if set, is called with the encoded size of each control message.
 	Sent func(kind string, bytes int)
 
@@ -47,7 +50,7 @@
 	}
 	p, ok := c.peers[to]
 	if !ok {
-		p = &peer{addr: to, tls: c.TLS}
+		p = &peer{addr: to, tls: c.TLS, budget: c.Budget}
 		c.peers[to] = p
 	}
 	return p
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -11,6 +11,7 @@
 
 	"almondstep"
 	"almondstep/messenger/peerpb"
+	"almondstep/rationer"
 )
 
 // peer is the connection to one daemon: one HTTP/2 connection, over which calls
@@ -24,6 +25,8 @@
 type peer struct {
 	addr almondstep.Address
 	tls  *tls.Config
+	// budget is the client's Budget.
+	budget *rationer.Budget
 
 	// lastResponse is when the last response arrived, in Unix nanoseconds.
 	lastResponse atomic.Int64
@@ -48,7 +51,7 @@
 	defer p.mu.Unlock()
 	if p.client == nil {
 		p.transport = newTransport(p.tls)
-		c := &http.Client{Transport: boundedTransport{p.transport}}
+		c := &http.Client{Transport: boundedTransport{Transport: p.transport, budget: p.budget}}
 		p.client = &clients{
 			Peer: peerpb.NewPeerProtobufClient(p.base(), c),
 			News: peerpb.NewNewsProtobufClient(p.base(), c),
@@ -130,6 +133,7 @@
 // read into memory whole.
 type boundedTransport struct {
 	*http.Transport
+	budget *rationer.Budget
 }
 
 // RoundTrip makes one call.
@@ -138,6 +142,6 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)
+	resp.Body = &rationer.Body{ReadCloser: http.MaxBytesReader(nil, resp.Body, maxAnswerBytes), Budget: b.budget}
 	return resp, nil
 }
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -15,6 +15,7 @@
 
 	"almondstep"
 	"almondstep/messenger/peerpb"
+	"almondstep/rationer"
 )
 
 const (
@@ -28,7 +29,7 @@
 	// size.
 	maxAnswerBytes = 16 << 20
 	// maxHeadBytes bounds the header of a request or a response.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 8 << 10
 )
 
 // Server serves the messages of other daemons.
@@ -40,6 +41,8 @@
 	Gatherer        almondstep.GatherServer
 	// TLS is the certificate and the authorities; nil disables TLS.
 	TLS *tls.Config
+	// Budget bounds the memory of the requests that are being served; nil doesn't.
+	Budget *rationer.Budget
 	// Sent, if set, is called with the encoded size of each control message.
 	Sent func(kind string, bytes int)
 	// ErrorLog logs connection errors; nil drops them.
@@ -52,6 +55,8 @@
 func (s *Server) Serve(l net.Listener) error {
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
+	} else {
+		l = &rationer.Listener{Listener: l, Budget: s.Budget}
 	}
 	err := s.server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -80,7 +85,8 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s.server = &http.Server{
-		Handler:           http.MaxBytesHandler(services, maxMessageBytes),
+		Handler:           &rationer.Handler{Handler: http.MaxBytesHandler(services, maxMessageBytes), Budget: s.Budget, Refuse: refuse},
+		ConnContext:       rationer.ConnContext,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
@@ -91,6 +97,11 @@
 	}
 }
 
+// refuse responds to a request for which there is no memory: it hasn't run.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	_ = twirp.WriteError(w, twirp.NewError(twirp.FailedPrecondition, rationer.ErrNoMemory.Error()))
+}
+
 // Shutdown refuses new connections and waits for the open calls.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return s.server.Shutdown(ctx)
--- a/storer/client.go
+++ b/storer/client.go
@@ -26,6 +26,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"almondstep"
+	"almondstep/rationer"
 )
 
 const (
@@ -48,6 +49,8 @@
 	Timeout time.Duration
 	// Grace is how much longer than its wait a watch may take; 0 means DefaultGrace.
 	Grace time.Duration
+	// Budget bounds the memory of the answers that are being read; nil doesn't.
+	Budget *rationer.Budget
 	// Recorder counts the calls; nil counts nothing.
 	Recorder almondstep.Recorder
 
--- a/storer/exchange.go
+++ b/storer/exchange.go
@@ -21,7 +21,7 @@
 	maxAnswerBytes = 8 << 20
 	// maxHeaderBytes bounds the header of an answer, including the interim (1xx)
 	// responses before it.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 16 << 10
 )
 
 // Request is one request to the platform.
@@ -76,13 +76,11 @@
 		return Answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.Method, q.Path), almondstep.ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	read, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	read, held, err := c.Budget.ReadAll(resp.Body, resp.ContentLength, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, errors.Mark(errors.Wrapf(err, "%s %s", q.Method, q.Path), almondstep.ErrUnavailable)
 	}
-	if len(read) > maxAnswerBytes {
-		return Answer{}, errors.Mark(errors.Newf("%s %s: the answer is too large", q.Method, q.Path), almondstep.ErrUnavailable)
-	}
+	defer c.Budget.Release(held)
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: read}, nil
 }
 
