Move the choice of usable upstreams beside the sending of calls

mayCall decides for every call, also about upstreams that leave, and no longer only about limits, so it stands in send.go with the code that asks it. Nothing else changes; the tests of forwarder pass.

--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"almondstep"
-	"almondstep/budgeter"
 )
 
 // observeLimit records the limit that an upstream states in a response, and logs when it
@@ -29,19 +28,6 @@
 	return &almondstep.Report{Level: almondstep.ReportInfo, Message: message, Subject: string(u.ID), Cause: cause}
 }
 
-// mayCall reports whether an upstream may be called now for a shard, apart from the limit
-// on calls to a cold one. A hedge never goes to an upstream that states a limit, which leaves
-// what such an upstream takes to the calls that need it.
-func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
-	if !r.route.Allows(u.Region) || s.tried(u) || f.leaving.has(u) {
-		return false
-	}
-	if !f.rates.Limited(now, u) {
-		return true
-	}
-	return kind != budgeter.Hedge && f.rates.Wait(now, u, r.budgetDivisor(s.service)) == 0
-}
-
 // limitWait returns how long a shard that can't be called must wait until the limit of one
 // of its upstreams allows a call; 0 if no limit is the reason.
 func (f *Forwarder) limitWait(now almondstep.Instant, r *request, s *shard) time.Duration {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -93,6 +93,20 @@
 	}
 }
 
+// mayCall reports whether an upstream may be called now for a shard, apart from the limit on
+// calls to a cold one. An upstream that has said that it leaves gets no calls. A hedge never
+// goes to an upstream that states a limit, which leaves what such an upstream takes to the
+// calls that need it.
+func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
+	if !r.route.Allows(u.Region) || s.tried(u) || f.leaving.has(u) {
+		return false
+	}
+	if !f.rates.Limited(now, u) {
+		return true
+	}
+	return kind != budgeter.Hedge && f.rates.Wait(now, u, r.budgetDivisor(s.service)) == 0
+}
+
 // connections returns this daemon's share of the connections to one upstream.
 func (f *Forwarder) connections(r *request, s almondstep.ServiceName) int {
 	service, _ := r.directory.Routes().Service(s)
