Count the time of a graceful stop from its request

Cause: the time in which requests must be answered began when the control thread took up the stop, while the listener's end began with the signal. If the thread takes it up 0.3 s late, the margin between the two is gone. Shown by a trial on a scratch copy that delays the event by 350 ms: the same failures, in all cases of the test. In 14 runs beside 40 to 100 busy processes, and in four with the process paused for 0.6 s at a time, neither the old nor the new code cut a request, so how the thread came to lag isn't shown.

Change: the event carries the instant, from the clock of the request.

--- a/message_control.go
+++ b/message_control.go
@@ -207,9 +207,8 @@
 
 // StopRequested starts a graceful shutdown.
 type StopRequested struct {
-	// Within is the time within which all routed requests must be answered; 0 if it isn't
-	// limited.
-	Within time.Duration `json:"within,omitempty"`
+	// AnswerBy is when all routed requests must be answered; 0 if there is no such instant.
+	AnswerBy Instant `json:"answerBy,omitempty"`
 }
 
 // Control implements ControlEvent.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -140,7 +140,11 @@
 // upstreams, while requests in progress continue. Routed requests are answered within the
 // given time; 0 means that it isn't limited.
 func (r *Runner) Stop(within time.Duration) {
-	r.control.push(&almondstep.StopRequested{Within: within})
+	e := &almondstep.StopRequested{}
+	if within > 0 {
+		e.AnswerBy = r.now().Add(within)
+	}
+	r.control.push(e)
 }
 
 // now returns the current instant on the process's monotonic clock.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -150,10 +150,7 @@
 	case *almondstep.CrashesRecorded:
 		return w.crashesRecorded(now, e, out)
 	case *almondstep.StopRequested:
-		w.stopping = true
-		if e.Within > 0 {
-			w.answerBy = now.Add(e.Within)
-		}
+		w.stopping, w.answerBy = true, e.AnswerBy
 		return w.publish(out)
 	}
 	return out
