--- a/messenger/endless_test.go
+++ b/messenger/endless_test.go
@@ -134,7 +134,7 @@
 // Guards against a daemon that runs out of memory: faulty daemons send many requests without
 // end at the same time. Together they hold no more than the budget, the rest is refused, and
 // ordinary requests are served.
-func TestEndlessRequestsShareMemoryBudget(t *testing.T) {
+func TestEndlessRequestsOfDaemonsShareMemoryBudget(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -175,7 +175,7 @@
 
 // Guards against a daemon that runs out of memory: many faulty daemons send responses without
 // end at the same time.
-func TestEndlessResponsesShareMemoryBudget(t *testing.T) {
+func TestEndlessResponsesOfDaemonsShareMemoryBudget(t *testing.T) {
 	piece := bytes.Repeat([]byte("x"), 1<<20)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
