Identify organisations by API keys; agree on the interfaces of the new parts

Cause: nothing on the routed path knew organisations.

Change: the route table holds organisations by digests of their keys; the forwarder answers 401, or 503 while its routes may be out of date, drops what identifies the caller and applies the organisation's priority and regions; upstreams and delegates get the organisation's name only. The crash fingerprint includes the organisation.

--- a/answer.go
+++ b/answer.go
@@ -64,6 +64,8 @@
 	CodeMissingShards   RefusalCode = "missingShards"
 	CodeUnknownRoute    RefusalCode = "unknownRoute"
 	CodeCallerGone      RefusalCode = "callerGone"
+	CodeUnauthorized    RefusalCode = "unauthorized"
+	CodeRateLimited     RefusalCode = "rateLimited"
 	CodeBodyTooLarge    RefusalCode = "bodyTooLarge"
 	CodeBadBody         RefusalCode = "badBody"
 )
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -18,7 +18,8 @@
 	noReplicaRetryAfter = 250 * time.Millisecond
 )
 
-// requestArrived registers a request and sends its first calls.
+// requestArrived identifies a request, and refuses it or passes it on to quota, admission and
+// dispatch.
 func (f *Forwarder) requestArrived(now almondstep.Instant, v *almondstep.View, e *almondstep.RequestArrived, out []almondstep.Effect) []almondstep.Effect {
 	d := v.Directory()
 	if d == nil || d.Routes() == nil {
@@ -32,6 +33,9 @@
 	if r == nil {
 		return append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
 	}
+	if refusal := f.identify(now, v, r); refusal != nil {
+		return append(out, refusal)
+	}
 	if f.quarantined(r) {
 		return append(out, f.refuseQuarantined(r))
 	}
@@ -43,6 +47,11 @@
 		return append(out, refuse(e.ID, almondstep.CodeStopping, stoppingRetryAfter))
 	}
 	r.capDeadline(f.view.AnswerBy())
+	return f.takeQuota(now, r, out)
+}
+
+// dispatch delegates the request, or sends its calls.
+func (f *Forwarder) dispatch(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
 	if f.delegate(now, r, &out) {
 		f.requests[r.id] = r
 		return r.setTimer(now, out)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -51,6 +51,9 @@
 	directory *almondstep.Directory
 	region    almondstep.RegionName
 	lastCall  almondstep.CallID
+	// organisationRoutes holds the routes of routesVersion as they apply to organisations.
+	organisationRoutes map[organisationRoute]*almondstep.Route
+	routesVersion      almondstep.RouteVersion
 	// crashLimit and crashMemory are those of the configuration.
 	crashLimit  int
 	crashMemory time.Duration
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -12,7 +12,10 @@
 	message   *almondstep.RequestMessage
 	route     *almondstep.Route
 	directory *almondstep.Directory
-	arrivedAt almondstep.Instant
+	// organisation is that of the caller; nil if the route is public, if the routes define no
+	// organisations, or if another daemon has delegated the request.
+	organisation *almondstep.Organisation
+	arrivedAt    almondstep.Instant
 	// answerBy is the latest time at which an answer meets the latency target; a
 	// partial answer is sent then.
 	answerBy almondstep.Instant
--- a/message.go
+++ b/message.go
@@ -1,8 +1,9 @@
 package almondstep
 
 // Event is an input of the reducer. Except for ViewChanged, each event is an event of
-// exactly one kind of state: a ControlEvent, a QueryEvent (by QueryID) or an
-// UpstreamEvent (by Address).
+// exactly one kind of state: a ControlEvent, a QuotaEvent, a RolloutEvent, a QueryEvent (by
+// QueryID) or an UpstreamEvent (by Address). A ControlTick is also passed to the state of
+// quotas and of rollouts.
 //
 // Golden files record events and effects as JSON, so their fields are exported,
 // unlike those of domain values.
@@ -32,6 +33,20 @@
 	Upstream() Address
 }
 
+// QuotaEvent is an event of the control thread's state of organisations' quotas.
+type QuotaEvent interface {
+	Event
+	// Quota marks the type as a QuotaEvent; it does nothing.
+	Quota()
+}
+
+// RolloutEvent is an event of the control thread's state of rollouts.
+type RolloutEvent interface {
+	Event
+	// Rollout marks the type as a RolloutEvent; it does nothing.
+	Rollout()
+}
+
 // ControlEvent is an event of the control thread's state.
 type ControlEvent interface {
 	Event
--- a/message_request.go
+++ b/message_request.go
@@ -1,6 +1,7 @@
 package almondstep
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -46,13 +47,44 @@
 	Host   string `json:"host"`
 	Header Header `json:"header,omitempty"`
 	Body   []byte `json:"body,omitempty"`
+	// Organisation is that of the caller; empty if the route is public or the routes
+	// define no organisations. Upstreams receive it.
+	Organisation OrganisationName `json:"organisation,omitempty"`
+	// APIKey is the key that the caller sent; empty if it didn't send exactly one. It is
+	// secret and never leaves the daemon.
+	APIKey string `json:"-"`
+	// Identity holds the header fields by which the caller identified itself. They are
+	// forwarded only if the routes define no organisations.
+	Identity Header `json:"-"`
 }
 
-// Fingerprint is the same for a request and for its repetitions with another ID,
-// whichever daemon they reach. It doesn't depend on the header, in which each attempt may
-// differ, or on the caller.
+// ForOrganisation returns the message as it is forwarded for an organisation, without the
+// fields by which the caller identified itself. The name is empty on a public route.
+func (m *RequestMessage) ForOrganisation(name OrganisationName) *RequestMessage {
+	forwarded := *m
+	forwarded.Organisation, forwarded.APIKey, forwarded.Identity = name, "", nil
+	return &forwarded
+}
+
+// WithIdentity returns the message as it is forwarded if the routes define no organisations:
+// with the fields by which the caller identified itself.
+func (m *RequestMessage) WithIdentity() *RequestMessage {
+	if len(m.Identity) == 0 {
+		return m
+	}
+	forwarded := m.ForOrganisation("")
+	forwarded.Header = append(slices.Clone(m.Header), m.Identity...)
+	return forwarded
+}
+
+// Fingerprint is the same for a request and for its repetitions with another ID by callers
+// of the same organisation, whichever daemon they reach. It doesn't depend on the header, in
+// which each attempt may differ.
 func (m *RequestMessage) Fingerprint() Fingerprint {
-	return FingerprintOf(m.Method, m.Host, m.Target, string(m.Body))
+	if m.Organisation == "" {
+		return FingerprintOf(m.Method, m.Host, m.Target, string(m.Body))
+	}
+	return FingerprintOf(m.Method, m.Host, m.Target, string(m.Body), string(m.Organisation))
 }
 
 // ResponseMessage is an upstream's complete response.
@@ -188,6 +220,8 @@
 type RequestTrace struct {
 	Route   RouteName    `json:"route"`
 	Version RouteVersion `json:"version"`
+	// Organisation is that of the caller; empty if it isn't known.
+	Organisation OrganisationName `json:"organisation,omitempty"`
 	// Delegate is the daemon that queried the shards; empty if it was this one.
 	Delegate DaemonID `json:"delegate,omitempty"`
 	// RegionalDelegate is the daemon of another region to which the shards there were
--- a/messenger/delegate.go
+++ b/messenger/delegate.go
@@ -84,14 +84,15 @@
 func encodeGather(req *almondstep.GatherRequest, remaining time.Duration) *peerpb.GatherRequest {
 	m, p := req.Request, req.Route.Spec()
 	r := &peerpb.GatherRequest{
-		Key:       m.Key,
-		Method:    m.Method,
-		Target:    m.Target,
-		Path:      m.Path,
-		Host:      m.Host,
-		Header:    make([]*peerpb.HeaderField, len(m.Header)),
-		Body:      m.Body,
-		Remaining: int64(remaining),
+		Key:          m.Key,
+		Method:       m.Method,
+		Target:       m.Target,
+		Path:         m.Path,
+		Host:         m.Host,
+		Header:       make([]*peerpb.HeaderField, len(m.Header)),
+		Body:         m.Body,
+		Organisation: string(m.Organisation),
+		Remaining:    int64(remaining),
 		Route: &peerpb.GatherRoute{
 			Name:          string(p.Name),
 			Host:          p.Host,
@@ -127,6 +128,8 @@
 		Host:   r.GetHost(),
 		Body:   r.GetBody(),
 		Header: make(almondstep.Header, len(r.GetHeader())),
+
+		Organisation: almondstep.OrganisationName(r.GetOrganisation()),
 	}
 	for i, f := range r.GetHeader() {
 		m.Header[i] = almondstep.HeaderField{Name: f.GetName(), Value: f.GetValue()}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -295,7 +295,9 @@
 	return reply, d.err
 }
 
-// A delegated request and its reply arrive with every field; a refusal is ErrNotRun.
+// A delegated request and its reply arrive with every field, except for the caller's key and
+// what else identifies it; a refusal is ErrNotRun. A key that is sent on to another daemon could
+// be recorded or logged there.
 func TestGatherRoundTrip(t *testing.T) {
 	d := &delegate{}
 	addr := serveGatherer(t, d)
@@ -310,6 +312,11 @@
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got answer %+v, want %+v", got, want)
 	}
+	received := d.request.Request
+	if received.APIKey != "" || len(received.Identity) > 0 {
+		t.Errorf("got key %q and identity %v at the delegate, want none", received.APIKey, received.Identity)
+	}
+	req.Request = req.Request.ForOrganisation(req.Request.Organisation)
 	if !reflect.DeepEqual(d.request, req) {
 		t.Errorf("got request %+v over %+v, want %+v over %+v", d.request.Request, d.request.Route, req.Request, req.Route)
 	}
@@ -337,6 +344,8 @@
 	t.Helper()
 	spec := *filled[almondstep.RouteSpec]()
 	spec.Host, spec.Prefix, spec.Targets, spec.MinCoverage = "lots.example", "/lots/", nil, 0.5
+	// The delegating daemon has checked the caller's key.
+	spec.Public = false
 	route, err := almondstep.NewRoute(spec)
 	if err != nil {
 		t.Fatal(err)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -10,7 +10,10 @@
 //	WorkArrived, ItemFinished, ...     -> Gathers    (the owner's side of a Work)
 //	ItemArrived, AttemptEnded, ...     -> Upstreams  (the owner's side of an upstream)
 //	RequestArrived, CallEnded, ...     -> Requests   (routed requests)
-//	ViewChanged                        -> all traffic partitions
+//	RequestQuota, ...                  -> Quotas     (organisations' rate limits)
+//	(RolloutEvent)                     -> Rollouts   (the shares of new versions)
+//	ControlTick                        -> Control, Quotas and Rollouts
+//	ViewChanged                        -> all partitions but Control
 //
 // It uses no clock and does no I/O. The same events in the same order produce the
 // same effects, which the golden files record.
@@ -29,10 +32,12 @@
 	Reduce(now almondstep.Instant, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect
 }
 
-// Reducer is the state of one thread. A control thread sets Control; a traffic
-// thread sets the others.
+// Reducer is the state of one thread. A control thread sets Control and, for routed
+// requests, Quotas and Rollouts; a traffic thread sets the others.
 type Reducer struct {
 	Control   ControlPartition
+	Quotas    Partition
+	Rollouts  Partition
 	Queries   Partition
 	Gathers   Partition
 	Upstreams Partition
@@ -49,28 +54,45 @@
 		*almondstep.GatherTimer, *almondstep.ItemFinished:
 		return reduceIn(r.Gathers, now, v, e, out)
 	case *almondstep.RequestArrived, *almondstep.RequesterGone, *almondstep.RequestTimer, *almondstep.CallEnded,
-		*almondstep.GatherEnded, *almondstep.RTTMeasured:
+		*almondstep.GatherEnded, *almondstep.RTTMeasured, *almondstep.QuotaDecided:
 		return reduceIn(r.Requests, now, v, e, out)
 	case almondstep.QueryEvent:
 		return reduceIn(r.Queries, now, v, e, out)
 	case almondstep.UpstreamEvent:
 		return reduceIn(r.Upstreams, now, v, e, out)
+	case *almondstep.ControlTick:
+		return r.tick(now, v, e, out)
 	case almondstep.ControlEvent:
 		if r.Control == nil {
 			return out
 		}
 		return r.Control.Reduce(now, e, out)
+	case almondstep.QuotaEvent:
+		return reduceIn(r.Quotas, now, v, e, out)
+	case almondstep.RolloutEvent:
+		return reduceIn(r.Rollouts, now, v, e, out)
 	}
 	return out
 }
 
-// viewChanged passes the event to all traffic partitions, the upstreams first. The
+// tick passes the event to all control partitions.
+func (r *Reducer) tick(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	if r.Control != nil {
+		out = r.Control.Reduce(now, e, out)
+	}
+	out = reduceIn(r.Quotas, now, v, e, out)
+	return reduceIn(r.Rollouts, now, v, e, out)
+}
+
+// viewChanged passes the event to all partitions but Control, the upstreams first. The
 // outcomes of items that they refuse under the new view are effects, which are returned
 // to the gathers as events of their own.
 func (r *Reducer) viewChanged(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
 	out = reduceIn(r.Upstreams, now, v, e, out)
 	out = reduceIn(r.Gathers, now, v, e, out)
 	out = reduceIn(r.Requests, now, v, e, out)
+	out = reduceIn(r.Quotas, now, v, e, out)
+	out = reduceIn(r.Rollouts, now, v, e, out)
 	return reduceIn(r.Queries, now, v, e, out)
 }
 
--- a/route.go
+++ b/route.go
@@ -44,6 +44,8 @@
 	Records int
 	// MinCoverage is the fraction of the shards, 0 to 1, that an answer needs.
 	MinCoverage float64
+	// Public is set if callers need no API key.
+	Public bool
 }
 
 // RouteTarget is a service and its weight among a route's targets.
@@ -127,6 +129,9 @@
 // MinCoverage is the fraction of the shards, 0 to 1, that an answer needs.
 func (r *Route) MinCoverage() float64 { return r.spec.MinCoverage }
 
+// Public reports whether callers need no API key.
+func (r *Route) Public() bool { return r.spec.Public }
+
 // Spec returns the spec of the route, for sending it to another daemon. The caller
 // must not change the contents of its slices.
 func (r *Route) Spec() RouteSpec { return r.spec }
--- a/route_table.go
+++ b/route_table.go
@@ -37,7 +37,10 @@
 	Version  RouteVersion
 	Routes   []Route
 	Services []RoutedService
-	Limits   CallerLimits
+	// Organisations are those whose callers may use routes that aren't public. If there are
+	// none, no caller needs a key.
+	Organisations []*Organisation
+	Limits        CallerLimits
 }
 
 // RouteTable is one version of the routes. It is immutable.
@@ -48,10 +51,14 @@
 	services map[ServiceName]RoutedService
 	shards   map[ServiceName]bool
 	limits   CallerLimits
+	// organisations and byKey find an organisation by its name and by its API keys.
+	organisations map[OrganisationName]*Organisation
+	byKey         map[keyDigest]*Organisation
 }
 
-// NewRouteTable indexes the routes. It returns ErrInvalid if a host has two routes
-// with the same prefix.
+// NewRouteTable indexes the routes and the organisations. It returns ErrInvalid if a host
+// has two routes with the same prefix, or two organisations have the same name or a common
+// API key.
 func NewRouteTable(spec RouteTableSpec) (*RouteTable, error) {
 	t := &RouteTable{
 		version:  spec.Version,
@@ -80,9 +87,30 @@
 			}
 		}
 	}
+	if err := t.addOrganisations(spec.Organisations); err != nil {
+		return nil, err
+	}
 	return t, nil
 }
 
+func (t *RouteTable) addOrganisations(all []*Organisation) error {
+	t.organisations = make(map[OrganisationName]*Organisation, len(all))
+	t.byKey = make(map[keyDigest]*Organisation, len(all))
+	for _, o := range all {
+		if _, taken := t.organisations[o.name]; taken {
+			return errors.Wrapf(ErrInvalid, "there are two organisations named %q", o.name)
+		}
+		t.organisations[o.name] = o
+		for _, digest := range o.digests {
+			if other, taken := t.byKey[digest]; taken && other != o {
+				return errors.Wrapf(ErrInvalid, "organisations %q and %q have a common key", other.name, o.name)
+			}
+			t.byKey[digest] = o
+		}
+	}
+	return nil
+}
+
 func longestPrefixFirst(a, b *Route) int {
 	return cmp.Or(
 		cmp.Compare(len(b.spec.Prefix), len(a.spec.Prefix)),
@@ -115,6 +143,21 @@
 	return lowest
 }
 
+// HasOrganisations reports whether callers need an API key for routes that aren't public.
+func (t *RouteTable) HasOrganisations() bool { return len(t.organisations) > 0 }
+
+// Organisation looks up an organisation by its name.
+func (t *RouteTable) Organisation(name OrganisationName) (*Organisation, bool) {
+	o, ok := t.organisations[name]
+	return o, ok
+}
+
+// OrganisationOfKey looks up the organisation that has an API key.
+func (t *RouteTable) OrganisationOfKey(apiKey string) (*Organisation, bool) {
+	o, ok := t.byKey[digestOf(apiKey)]
+	return o, ok
+}
+
 // Limits are the limits on callers' requests and connections.
 func (t *RouteTable) Limits() CallerLimits { return t.limits }
 
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -38,13 +38,15 @@
 		r.background(func(ctx context.Context) { r.recordCrashes(ctx, f) })
 	case *almondstep.Report:
 		r.report(f)
+	case almondstep.QueryEvent, almondstep.QuotaEvent, almondstep.RolloutEvent:
+		r.deliver(f)
 	default:
 		r.Logger.Error("unhandled effect", "kind", f.Kind())
 	}
 }
 
 // publish makes a view current on all threads atomically, then notifies each
-// traffic thread so that it ends what the change invalidates.
+// thread so that it ends what the change invalidates.
 func (r *Runner) publish(v *almondstep.View) {
 	r.view.Store(v)
 	r.observed.prune(v)
@@ -52,6 +54,7 @@
 	for _, t := range r.traffic {
 		t.push(&almondstep.ViewChanged{})
 	}
+	r.control.push(&almondstep.ViewChanged{})
 }
 
 func (r *Runner) sendProbe(ctx context.Context, f *almondstep.SendProbe) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -181,7 +181,7 @@
 		r.queryThread(e.Query()).push(e)
 	case almondstep.UpstreamEvent:
 		r.upstreamThread(e.Upstream()).push(e)
-	case almondstep.ControlEvent:
+	case almondstep.ControlEvent, almondstep.QuotaEvent, almondstep.RolloutEvent:
 		r.control.push(e)
 	}
 }
--- a/view.go
+++ b/view.go
@@ -19,6 +19,7 @@
 	answerBy            Instant
 	directory           *Directory
 	directoryFreshUntil Instant
+	keysValidUntil      Instant
 }
 
 // Placement lists the replicas of the shards of one service at one version.
@@ -154,6 +155,9 @@
 	// DirectoryFreshUntil is the instant until which the directory counts as
 	// complete, unless a newer view extends it; 0 means that it always does.
 	DirectoryFreshUntil Instant
+	// KeysValidUntil is the instant until which callers' API keys are accepted, unless a
+	// newer view extends it; 0 means that they always are.
+	KeysValidUntil Instant
 }
 
 // NewView creates a view. The caller must not change what the spec refers to
@@ -175,6 +179,7 @@
 		answerBy:            spec.AnswerBy,
 		directory:           spec.Directory,
 		directoryFreshUntil: spec.DirectoryFreshUntil,
+		keysValidUntil:      spec.KeysValidUntil,
 	}
 }
 
@@ -256,6 +261,12 @@
 	return v.directoryFreshUntil == 0 || now <= v.directoryFreshUntil
 }
 
+// KeysValid reports whether callers' API keys are accepted at now. If not, they may have
+// been revoked since the directory was last confirmed.
+func (v *View) KeysValid(now Instant) bool {
+	return v.keysValidUntil == 0 || now <= v.keysValidUntil
+}
+
 // Directory returns the routes and their upstreams; nil if the daemon serves no
 // routes.
 func (v *View) Directory() *Directory { return v.directory }
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -261,6 +261,9 @@
 		Crashes:             w.crashes.quarantine.Crashes(),
 		DirectoryFreshUntil: max(1, w.confirmedAt.Add(w.cfg.MaxAge)),
 	}
+	if w.cfg.KeyMaxAge > 0 {
+		spec.KeysValidUntil = max(1, w.confirmedAt.Add(w.cfg.KeyMaxAge))
+	}
 	if w.routes != nil {
 		spec.Revision = almondstep.Revision(w.routes.Version())
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -42,6 +42,9 @@
 	// MaxAge is the time within which a registry change must have reached this daemon;
 	// a registry cache that wasn't confirmed for longer is stale. 0 means DefaultMaxAge.
 	MaxAge time.Duration
+	// KeyMaxAge is the time without a confirmation of the registry cache after which callers'
+	// API keys are no longer accepted; 0 accepts them however old the cache is.
+	KeyMaxAge time.Duration
 	// Seeds are addresses of other daemons. They are asked while this daemon's registry
 	// cache is empty and it can't reach the registry.
 	Seeds []almondstep.Address
