End calls with invalid statuses; withhold promises that servers don't confirm

Cause (MIXED): a server in trouble sent the status 000. Here the exchanger skipped every status below 200 as interim, so that what follows 000 on the connection counted as the answer, and passed 600 to 999 on; the command line's client took any status with an outcome in the body as an answer, and the dialer a 000 with the field for it as proof of not having run. Cause (REFUSED): a server's own 503, 429, 408 or 421 without Not-Executed was passed on to clients of requests that aren't idempotent.

Change: a final status outside 200 to 599, 101, and an interim one outside 100 to 199 end the call as an invalid response; both clients reject them. Such a promise becomes a 502 of the daemon's own.

--- a/dialer/attempt.go
+++ b/dialer/attempt.go
@@ -216,10 +216,12 @@
 }
 
 // resultOf maps a status to a result. A request counts as not run only if the
-// answer carries the upstream's own header for it.
+// answer carries the upstream's own header for it, and a status of HTTP.
 func resultOf(resp *http.Response) almondstep.CallResult {
 	notRun := resp.Header.Get(headerNotRun) != ""
 	switch {
+	case !almondstep.IsFinalStatus(resp.StatusCode):
+		return almondstep.CallRejected
 	case resp.StatusCode == http.StatusOK:
 		return almondstep.CallDone
 	case resp.StatusCode == http.StatusConflict && notRun:
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -163,20 +163,30 @@
 	return errors.Mark(err, errMalformed)
 }
 
-// readFinalHead reads the head of the final response and skips interim responses.
+// readFinalHead reads the head of the final response and skips interim responses. A response
+// with a status that is neither ends the reading: what follows it on the connection can't be
+// told from an answer.
 func (cn *conn) readFinalHead(method string) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
+		case almondstep.IsFinalStatus(resp.StatusCode):
 			return resp, nil
+		case !isInterim(resp.StatusCode):
+			return nil, errors.Newf("status %03d isn't one of a response", resp.StatusCode)
 		}
 	}
 	return nil, errors.New("too many interim responses")
 }
 
+// isInterim reports whether another response follows one with this status. After 101 it would
+// be in another protocol.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // idleMargin is how long before the upstream's keep-alive timeout an idle
 // connection is no longer used.
 const idleMargin = 500 * time.Millisecond
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -26,7 +26,10 @@
 		out = cancelPending(r, s, abandonedCallTimeout, out)
 		return f.proceed(now, r, out)
 	}
-	if e.Response != nil && e.Response.Signature != "" && !e.Result.NotRun() {
+	// The caller of a request that isn't idempotent would send it again after a status that
+	// tells it that the request hasn't run.
+	misleading := e.ClaimsNotRun && !r.route.Idempotent()
+	if e.Response != nil && e.Response.Signature != "" && !e.Result.NotRun() && !misleading {
 		s.failure = e.Response
 	}
 	s.result = e.Result
--- a/message_request.go
+++ b/message_request.go
@@ -159,6 +159,9 @@
 	// Disconnected is set if the upstream ended the connection after the request was sent
 	// and before its response was complete.
 	Disconnected bool `json:"disconnected,omitempty"`
+	// ClaimsNotRun is set if the status of the response tells a caller that the request hasn't
+	// run, although the upstream doesn't confirm it.
+	ClaimsNotRun bool `json:"claimsNotRun,omitempty"`
 	// Leaving is set if the upstream says in its response that it leaves: it gets no new
 	// requests.
 	Leaving bool `json:"leaving,omitempty"`
--- a/requester/client.go
+++ b/requester/client.go
@@ -129,6 +129,9 @@
 		return 0, errors.Mark(err, almondstep.ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !almondstep.IsFinalStatus(resp.StatusCode) {
+		return resp.StatusCode, errors.Wrapf(almondstep.ErrUnavailable, "the response has the status %03d", resp.StatusCode)
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(dst); err != nil {
 		return resp.StatusCode, errors.Mark(errors.Wrapf(err, "decode the response with status %d", resp.StatusCode), almondstep.ErrUnavailable)
 	}
