Use the load, the pace and recent slowness of upstreams in the choice

Cause: a Server-Load of four figures was dropped as a whole, the running requests and slots in it were ignored, all daemons chose the same idle upstream, and a slow upstream got the full rate of calls again 2 s after its last one.

Package picker normalises latencies by pace, counts running and waiting requests with a weight that falls with age, chooses at random between the two cheapest if they are nearly equal, and keeps a slow upstream's estimate for 20 s, with one trial call after 2 s and then every 4 s.

--- a/message_request.go
+++ b/message_request.go
@@ -148,6 +148,11 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
+	// Pace is how long work takes on the upstream's machine now, in percent of its usual
+	// time; 0 if unknown.
+	//
+	// Example: at 200, a request takes twice as long as usual.
+	Pace int `json:"pace,omitempty"`
 }
 
 // CallEnded is the outcome of a SendCall.
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -12,8 +12,9 @@
 	// the deviation, as in TCP's estimate of the round-trip time.
 	meanDivisor      = 8
 	deviationDivisor = 4
-	// latencyMaxAge is how long an estimate is valid without a new latency; after that,
-	// the group's estimate is used, or one by the upstream's distance.
+	// latencyMaxAge is how long an estimate is valid without a new latency, unless the
+	// upstream is slow; after that, the group's estimate is used, or one by the
+	// upstream's distance.
 	latencyMaxAge = 2 * time.Second
 	// A call has the weight 1/failureDivisor in the share of failed calls.
 	failureDivisor = 6
@@ -26,7 +27,8 @@
 
 // estimate holds the observed latency, failures and load of an upstream.
 type estimate struct {
-	// mean and deviation are those of the latency, last updated at latencyAt.
+	// mean and deviation are those of the latency at the pace 100, last updated at
+	// latencyAt.
 	mean      time.Duration
 	deviation time.Duration
 	latencyAt almondstep.Instant
@@ -73,12 +75,3 @@
 func (e *estimate) hasRecentLatency(now almondstep.Instant) bool {
 	return e.latencyAt != 0 && now.Sub(e.latencyAt) <= latencyMaxAge
 }
-
-// queuedPerSlot returns the number of queued requests per slot that the upstream last
-// reported; 0 if the report is older than loadMaxAge.
-func (e *estimate) queuedPerSlot(now almondstep.Instant) float64 {
-	if e.loadAt == 0 || now.Sub(e.loadAt) > loadMaxAge {
-		return 0
-	}
-	return float64(e.load.Waiting) / float64(max(1, e.load.Slots))
-}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -49,21 +49,26 @@
 }
 
 // Pick returns the upstream of least cost among those that usable allows and that
-// aren't in backoff, and whether there is one.
+// aren't in backoff, and whether there is one. If the second is nearly as cheap, it
+// chooses one of the two at random.
 func (p *Picker) Pick(now almondstep.Instant, among []*almondstep.Upstream, usable func(*almondstep.Upstream) bool) (*almondstep.Upstream, bool) {
-	var best *almondstep.Upstream
-	var minCost time.Duration
-	for _, u := range among {
+	if len(among) == 0 {
+		return nil, false
+	}
+	var best cheapest
+	start := int(p.random() * float64(len(among)))
+	for i := range among {
+		u := among[(start+i)%len(among)]
 		s := p.stateOf(now, u)
 		if now < s.backoffUntil || !usable(u) {
 			continue
 		}
-		cost := p.cost(now, s)
-		if best == nil || cost < minCost || cost == minCost && p.randomBit() {
-			best, minCost = u, cost
-		}
+		best.add(candidate{upstream: u, cost: p.cost(now, s)})
 	}
-	return best, best != nil
+	if best.first.upstream == nil {
+		return nil, false
+	}
+	return p.choose(&best), true
 }
 
 // cost returns the time in which the upstream is expected to answer one more request,
@@ -71,9 +76,13 @@
 func (p *Picker) cost(now almondstep.Instant, s *upstreamState) time.Duration {
 	mean, deviation := s.expectedLatency(now)
 	cost := mean + deviation
+	if s.trialDue(now) {
+		// A trial must win against upstreams that are nearly equal, or a recovered
+		// upstream of three is never found.
+		cost = time.Duration(float64(mean) / nearlyEqualRatio)
+	}
 	cost += time.Duration(s.failureShare(now) * float64(failureCost))
-	queued := s.queuedPerSlot(now) + float64(max(0, len(s.inFlight)+1-s.slots))/float64(s.slots)
-	cost += time.Duration(queued * float64(max(mean, priorServiceTime)))
+	cost += time.Duration(s.queuedPerSlot(now) * float64(max(mean-s.rtt, priorServiceTime)))
 	if over := s.overdue(now); over > 0 {
 		cost += overdueCost + over
 	}
@@ -115,7 +124,11 @@
 
 // Sent records a call that is sent to an upstream.
 func (p *Picker) Sent(now almondstep.Instant, u *almondstep.Upstream, call almondstep.CallID) {
-	p.stateOf(now, u).inFlight[call] = now
+	s := p.stateOf(now, u)
+	if s.trialDue(now) {
+		s.startTrial(now)
+	}
+	s.inFlight[call] = now
 }
 
 // Ended records how a call ended. It returns the backoff that starts now; 0 if none
@@ -140,8 +153,7 @@
 	switch e.Result {
 	case almondstep.CallDone:
 		u.resetBackoff()
-		u.observeLatency(now, e.Took)
-		u.group.observe(e.Took)
+		u.recordLatency(now, e.Took)
 		u.observeOutcome(now, false)
 	case almondstep.CallShed, almondstep.CallRejected, almondstep.CallInvalidResponse:
 		u.resetBackoff()
@@ -170,6 +182,7 @@
 	if e.Load != nil {
 		u.load = *e.Load
 		u.loadAt = now
+		u.pace.observe(now, e.Load.Pace)
 	}
 	if e.ColdFor > 0 {
 		u.coldUntil = now.Add(e.ColdFor)
@@ -209,6 +222,7 @@
 	s := &upstreamState{
 		started:  u.Started,
 		prior:    dialRoundTrips*p.PriorRTT(u) + priorServiceTime,
+		rtt:      p.PriorRTT(u),
 		group:    p.groupOf(u),
 		slots:    max(1, u.Slots),
 		inFlight: make(map[almondstep.CallID]almondstep.Instant),
@@ -231,9 +245,3 @@
 		return otherRegionRTT
 	}
 }
-
-// randomBit returns one pseudo-random bit.
-func (p *Picker) randomBit() bool {
-	p.Seed = almondstep.HashUint64(p.Seed)
-	return p.Seed&1 == 1
-}
--- a/picker/upstream.go
+++ b/picker/upstream.go
@@ -29,8 +29,12 @@
 	started time.Time
 	// prior is the latency that is assumed before any observation.
 	prior time.Duration
-	group *groupEstimate
-	slots int
+	// rtt is the assumed part of a latency that doesn't depend on the upstream's pace.
+	rtt      time.Duration
+	pace     paceEstimate
+	slowness slowness
+	group    *groupEstimate
+	slots    int
 	// inFlight holds the pending calls and when they were sent.
 	inFlight              map[almondstep.CallID]almondstep.Instant
 	backoff               time.Duration
@@ -100,17 +104,47 @@
 	return mean + highLatencyDeviations*deviation
 }
 
-// hasLatency reports whether there is a recent latency of the upstream or any latency
+// recordLatency updates the estimates of the upstream and its group with a latency, each
+// at the pace 100.
+func (u *upstreamState) recordLatency(now almondstep.Instant, took time.Duration) {
+	typical := u.prior
+	if u.group.observed {
+		typical = u.group.mean
+	}
+	took = rescale(took, u.rtt, u.pace.present(now, u.validFor(now)), usualPace)
+	u.observeLatency(now, took)
+	u.group.observe(took)
+	u.assessSlowness(now, typical)
+}
+
+// ownLatencyValid reports whether the upstream's own latency is used, rather than that of
+// its group.
+func (u *upstreamState) ownLatencyValid(now almondstep.Instant) bool {
+	return u.latencyAt != 0 && now.Sub(u.latencyAt) <= u.validFor(now) && !u.trialDue(now)
+}
+
+// hasLatency reports whether there is a valid latency of the upstream or any latency
 // of its group, so that an overdue call can be detected.
 func (u *upstreamState) hasLatency(now almondstep.Instant) bool {
-	return u.hasRecentLatency(now) || u.group.observed
+	return u.ownLatencyValid(now) || u.group.observed
 }
 
-// expectedLatency returns the mean and deviation of the next latency: the upstream's
-// own if recent, else the group's, else one by the upstream's distance.
+// expectedLatency returns the mean and deviation of the next latency, at the upstream's
+// present pace. A trial call is expected to be answered at the pace 100.
 func (u *upstreamState) expectedLatency(now almondstep.Instant) (mean, deviation time.Duration) {
+	mean, deviation = u.latencyAtUsualPace(now)
+	if u.trialDue(now) {
+		return mean, deviation
+	}
+	pace := u.pace.present(now, u.validFor(now))
+	return rescale(mean, u.rtt, usualPace, pace), rescale(deviation, 0, usualPace, pace)
+}
+
+// latencyAtUsualPace returns the mean and deviation of the latency at the pace 100: the
+// upstream's own if valid, else the group's, else one by the upstream's distance.
+func (u *upstreamState) latencyAtUsualPace(now almondstep.Instant) (mean, deviation time.Duration) {
 	switch {
-	case u.hasRecentLatency(now):
+	case u.ownLatencyValid(now):
 		return u.mean, u.deviation
 	case u.group.observed:
 		return u.group.mean, u.group.deviation
