Choose few gatherers per region instead of a share per zone

Cause: 18 to 32 gatherers each saw a given upstream every few seconds and had a share of the retry budget of a few calls in 10 s.

Change: in fleets of more than 9 daemons, or where connections are short, the largest daemons of a region gather until they hold a fifth of its processor time: at least two, at most the region's share of the accepted connections, those in zones with upstreams of shards first among nearly equal ones, none in a drained zone while there are others. Gatherers() is the exact number, derived from registry entries only (a daemon that isn't listed itself isn't counted). Small fleets with enough connections and routes without a stated limit keep the choice per zone.

--- a/directory.go
+++ b/directory.go
@@ -84,7 +84,7 @@
 	// Gatherers is the number of daemons that query the upstreams of shards; 0 means
 	// all.
 	Gatherers int
-	// Delegates are the delegates of the daemon's own zone; empty if the daemon
+	// Delegates are the delegates of the daemon's own region; empty if the daemon
 	// queries the shards itself.
 	Delegates []Delegate
 	// RegionalDelegates are, for each other region, the daemons that query its
--- a/message_delegate.go
+++ b/message_delegate.go
@@ -3,10 +3,12 @@
 import "time"
 
 // Delegate is a daemon that queries shards on behalf of others: one of the same
-// availability zone, or a regional delegate of another region.
+// region, or a regional delegate of another region.
 type Delegate struct {
 	ID   DaemonID
 	Addr Address
+	// Zone is the availability zone of its VM; empty if unknown.
+	Zone ZoneName `json:",omitempty"`
 	// Cores is the CPU capacity of its VM, in cores. Requests are distributed over
 	// the delegates in proportion to it.
 	Cores float64
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -230,18 +230,18 @@
 // publish builds a directory from the registry cache and publishes a view of it.
 func (w *Watcher) publish(out []almondstep.Effect) []almondstep.Effect {
 	w.publishedDaemons = w.daemonCount()
-	gatherers := w.gatherers()
+	gatherers := w.chooseGatherers()
 	usable := func(u *almondstep.Upstream) bool { return !u.Leaving && !w.drainedZones[u.Zone].drained }
 	w.directory = almondstep.NewDirectory(almondstep.DirectorySpec{
 		Routes:            w.routes,
 		Upstreams:         w.listing.upstreams(usable),
 		Ended:             w.ended.publish(),
 		Daemons:           w.publishedDaemons,
-		Gatherers:         gatherers,
-		Delegates:         w.delegates(gatherers),
-		RegionalDelegates: w.regionalDelegates(gatherers),
+		Gatherers:         gatherers.count,
+		Delegates:         gatherers.delegates,
+		RegionalDelegates: gatherers.regional,
 	})
-	return w.publishAge(out)
+	return w.publishAge(w.reportRole(gatherers, out))
 }
 
 // publishAge publishes a view of the last directory that is fresh until MaxAge after the
--- a/watcher/delegates.go
+++ b/watcher/delegates.go
@@ -29,7 +29,8 @@
 	return min(all, max(1, accepted/connectionsPerGatherer))
 }
 
-// delegates lists the daemons of this daemon's zone that query the shards on behalf of
+// delegates is used in a fleet without regional gatherers (see chooseGatherers), as are the
+// functions below. It lists the daemons of this daemon's zone that query the shards on behalf of
 // the others: the largest ones, as many as the zone's share of the gatherers, without
 // those that have less than half the cores of the largest, but at least minGatherers. It
 // is nil if this daemon is one of them, or if all daemons of the zone are.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -89,8 +89,12 @@
 	// got a reply because of a new confirmation.
 	lastSentConfirmation almondstep.Instant
 	publishedDaemons     int
-	crashes              crashLog
-	ended                endedRuns
+	// gathers is whether this daemon was last logged as one that queries shards, and
+	// loggedRole whether either was logged.
+	gathers, loggedRole bool
+
+	crashes crashLog
+	ended   endedRuns
 	// orders lists the daemons of each zone in the order that determines their place in
 	// the tree; nil if it must be rebuilt.
 	orders map[almondstep.ZoneName][]almondstep.DaemonID
