Prefer less loaded delegates; doubt late ones sooner

Cause: delegates got requests in proportion to their cores whatever their load; a lost one got its part of all requests for 400 ms, and several at once after each backoff.

Change: a gatherer's reply carries the share of its processor time that its calls to shards take (rate of calls and open calls, against its cores), in the trace.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -65,6 +65,7 @@
 // the kind of delegate in the log line.
 func (f *Forwarder) recordEnded(now almondstep.Instant, r *request, what string, to almondstep.DaemonID, e *almondstep.GatherEnded, out []almondstep.Effect) []almondstep.Effect {
 	r.openCalls--
+	out = f.observeDelegate(now, r, to, e, out)
 	if backoff := f.delegates.ended(now, to, e.Call, e.Reply != nil); backoff > 0 {
 		out = append(out, backoffReport(what, string(to), e.Err, r, backoff))
 	}
@@ -74,6 +75,26 @@
 	return f.markLeaving(now, r, e.Reply.Trace.Leaving, out)
 }
 
+// observeDelegate records what a reply says about the load of a delegate, before its call
+// ends.
+func (f *Forwarder) observeDelegate(now almondstep.Instant, r *request, to almondstep.DaemonID, e *almondstep.GatherEnded, out []almondstep.Effect) []almondstep.Effect {
+	s := f.delegates.state(to)
+	sentAt, open := s.openCalls[e.Call]
+	if e.Reply == nil || !open {
+		return out
+	}
+	wasOverloaded := s.load.overloaded(now)
+	if e.HasNotRun() {
+		s.load.observeRefusal(now, e.Reply.Code)
+	} else {
+		s.load.observeReply(now, now.Sub(sentAt), e.Reply.Trace.DelegateLoad)
+	}
+	if s.load.overloaded(now) && !wasOverloaded {
+		out = append(out, overloadReport(to, r))
+	}
+	return out
+}
+
 // cancelGather cancels a call to a delegate or a regional delegate. A delegate that
 // has held the call for longer than delegateOverdue may be stalled and enters backoff.
 func (f *Forwarder) cancelGather(now almondstep.Instant, r *request, what string, to almondstep.DaemonID, call almondstep.CallID, out []almondstep.Effect) []almondstep.Effect {
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -76,6 +76,9 @@
 // answer sends the reply and cancels the pending calls.
 func (f *Forwarder) answer(now almondstep.Instant, r *request, reply *almondstep.Reply, out []almondstep.Effect) []almondstep.Effect {
 	r.answered = true
+	if r.asDelegate {
+		reply.Trace.DelegateLoad = f.load.share(now, len(f.calls))
+	}
 	out = append(out, &almondstep.ReplyRequest{ID: r.id, Reply: reply})
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], abandonedCallTimeout, out)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,8 @@
 	// Zone and Region are those of this daemon.
 	Zone   almondstep.ZoneName
 	Region almondstep.RegionName
+	// Cores is the processor time available to this daemon's VM, in cores; 0 if unknown.
+	Cores float64
 	// Seed is that of the random choice among upstreams.
 	Seed uint64
 	// RetryRatio, RetrySlack and RetryWindow limit the calls beyond the first of
@@ -43,6 +45,7 @@
 	calls     map[almondstep.CallID]callRef
 	balancers map[almondstep.RouteName]*targetBalancer
 	delegates delegatePool
+	load      gatherLoad
 	rates     budgeter.RateLimiter
 	leaving   leavingRuns
 	silent    silentUpstreams
@@ -80,6 +83,7 @@
 		rates:     budgeter.RateLimiter{Seed: cfg.Seed},
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		region:    cfg.Region,
+		load:      gatherLoad{cores: cfg.Cores},
 
 		silent:      silentUpstreams{renewInterval: cfg.RenewInterval},
 		crashLimit:  cfg.CrashLimit,
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -16,8 +16,8 @@
 	delegateOverdue = 400 * time.Millisecond
 )
 
-// delegatePool distributes requests over the delegates in proportion to the CPU cores
-// of their VMs, and skips those that don't answer.
+// delegatePool distributes requests over the delegates in proportion to the free part of the
+// CPU cores of their VMs, and skips those that don't answer or are overloaded.
 type delegatePool struct {
 	all map[almondstep.DaemonID]*delegateState
 }
@@ -35,6 +35,7 @@
 	rtt        time.Duration
 	measuredAt almondstep.Instant
 	measuring  bool
+	load       delegateLoad
 }
 
 const (
@@ -77,7 +78,7 @@
 
 // usable reports whether a delegate may get one more request.
 func (s *delegateState) usable(now almondstep.Instant) bool {
-	if now < s.backoffUntil {
+	if now < s.backoffUntil || s.recovering() {
 		return false
 	}
 	for _, at := range s.openCalls {
@@ -88,19 +89,17 @@
 	return true
 }
 
-// pick chooses one of the delegates that usable allows and that aren't in backoff or
-// stalled (smooth weighted round robin); it returns false if there is none.
+// pick chooses one of the delegates that usable allows and that aren't in backoff, stalled
+// or overloaded (smooth weighted round robin); it returns false if there is none.
 func (m *delegatePool) pick(now almondstep.Instant, among []almondstep.Delegate, usable func(almondstep.DaemonID) bool) (almondstep.Delegate, bool) {
 	var best almondstep.Delegate
 	var chosen *delegateState
 	sum := 0.0
-	for _, d := range among {
+	for _, d := range m.candidates(now, among, usable) {
 		s := m.state(d.ID)
-		if !s.usable(now) || !usable(d.ID) {
-			continue
-		}
-		sum += d.Cores
-		s.credit += d.Cores
+		weight := s.load.weight(now, d)
+		sum += weight
+		s.credit += weight
 		if chosen == nil || s.credit > chosen.credit {
 			best, chosen = d, s
 		}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -38,6 +38,7 @@
 	s.hedgeAt = f.hedgeTime(now, r, s, u)
 	r.openCalls++
 	r.trace.Calls++
+	f.load.countCall(now)
 	f.picker.Sent(now, u, id)
 	*out = append(*out, &almondstep.SendCall{
 		ID:              r.id,
--- a/message_request.go
+++ b/message_request.go
@@ -229,6 +229,9 @@
 	Organisation OrganisationName `json:"organisation,omitempty"`
 	// Delegate is the daemon that queried the shards; empty if it was this one.
 	Delegate DaemonID `json:"delegate,omitempty"`
+	// DelegateLoad is the share of its capacity that the delegate uses, as its reply reports;
+	// 0 if unknown.
+	DelegateLoad float64 `json:"delegateLoad,omitempty"`
 	// RegionalDelegate is the daemon of another region to which the shards there were
 	// delegated; empty if none was.
 	RegionalDelegate DaemonID `json:"helper,omitempty"`
