--- a/recorder/gauges.go
+++ b/recorder/gauges.go
@@ -7,6 +7,12 @@
 func (r *Recorder) addGauges() {
 	r.gauge(revision, func(v *almondstep.View) float64 { return float64(v.Revision()) })
 	r.gauge(ready, readiness)
+	r.gauge(shardGatherers, func(v *almondstep.View) float64 {
+		if d := v.Directory(); d != nil {
+			return float64(d.Gatherers())
+		}
+		return 0
+	})
 	r.gauge(knownDaemons, func(v *almondstep.View) float64 { return float64(len(v.Peers())) })
 	r.gauge(quarantined, func(v *almondstep.View) float64 { return float64(v.Status().Quarantined) })
 	for _, t := range []almondstep.Temperature{almondstep.Cold, almondstep.Warm, almondstep.Leaving, almondstep.Lost} {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -50,7 +50,9 @@
 	retries  *metrics.Counter
 	denied   *metrics.Counter
 	limited  *metrics.Counter
-	broken   *metrics.Counter
+	// delegated counts the requests that a delegate answered.
+	delegated *metrics.Counter
+	broken    *metrics.Counter
 }
 
 // replyKey has the labels of the counter of answers to routed requests.
@@ -188,6 +190,9 @@
 	m.retries.Add(t.Retries)
 	m.denied.Add(t.Denied)
 	m.limited.Add(t.Limited)
+	if t.Delegate != "" {
+		m.delegated.Inc()
+	}
 	m.broken.Add(len(t.Disconnected))
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -74,14 +74,15 @@
 func (r *Recorder) newRoute(route almondstep.RouteName) *routeMetrics {
 	label := []string{"route", string(route)}
 	return &routeMetrics{
-		seconds:  r.set.GetOrCreateHistogram(labeled(requestSeconds, label...)),
-		coverage: r.set.GetOrCreateHistogram(labeled(requestCoverage, label...)),
-		calls:    r.set.GetOrCreateCounter(labeled(requestCalls, label...)),
-		hedges:   r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "hedge")),
-		retries:  r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "retry")),
-		denied:   r.set.GetOrCreateCounter(labeled(requestDenied, label...)),
-		limited:  r.set.GetOrCreateCounter(labeled(requestLimited, label...)),
-		broken:   r.set.GetOrCreateCounter(labeled(requestBroken, label...)),
+		seconds:   r.set.GetOrCreateHistogram(labeled(requestSeconds, label...)),
+		coverage:  r.set.GetOrCreateHistogram(labeled(requestCoverage, label...)),
+		calls:     r.set.GetOrCreateCounter(labeled(requestCalls, label...)),
+		hedges:    r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "hedge")),
+		retries:   r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "retry")),
+		denied:    r.set.GetOrCreateCounter(labeled(requestDenied, label...)),
+		delegated: r.set.GetOrCreateCounter(labeled(requestDelegated, label...)),
+		limited:   r.set.GetOrCreateCounter(labeled(requestLimited, label...)),
+		broken:    r.set.GetOrCreateCounter(labeled(requestBroken, label...)),
 	}
 }
 
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -43,10 +43,12 @@
 	requestExtra     = "almondstep_request_extra_calls_total"
 	requestDenied    = "almondstep_request_denied_calls_total"
 	requestLimited   = "almondstep_request_limited_shards_total"
+	requestDelegated = "almondstep_request_delegated_total"
 	requestBroken    = "almondstep_request_disconnects_total"
 	linesDropped     = "almondstep_log_lines_dropped_total"
 	revision         = "almondstep_revision"
 	ready            = "almondstep_ready"
+	shardGatherers   = "almondstep_gatherers"
 	knownDaemons     = "almondstep_known_daemons"
 	quarantined      = "almondstep_quarantined_requests"
 	ownedUpstreams   = "almondstep_owned_upstreams"
@@ -95,6 +97,11 @@
 			"Shards that weren't called because of the limits that their upstreams state.",
 			"Above 0: upstreams state fewer requests than come. The log says which (\"upstream states a limit\").",
 		},
+		{
+			requestDelegated, Counter, "requests", "route",
+			"Routed requests whose shards another daemon queried on behalf of this one.",
+			"Below the requests of a route over shards, at a daemon that isn't a gatherer: its delegates are overloaded or fail. The log says which (\"delegate overloaded\", \"delegate left alone\").",
+		},
 		{
 			requestBroken, Counter, "upstreams", "route",
 			"Upstreams that ended the connection while they had a routed request, at most 8 a request.",
@@ -185,6 +192,11 @@
 			"Whether callers should be sent here.",
 			"0: the readiness page says why.",
 		},
+		{
+			shardGatherers, Gauge, "daemons", "",
+			"Daemons of the fleet that query shards, for themselves and for the others; 0 before the registry is known.",
+			"Different at daemons for more than some seconds: their registry caches differ, and the shares of the retry budget may exceed it.",
+		},
 		{
 			knownDaemons, Gauge, "daemons", "",
 			"Other daemons whose address is known here.",
