Send hedges for the minimum coverage first; keep connections for the others

Cause: budget for hedges of a shard that returned went to whichever request tried first, also to one that had its minimum coverage. Gatherers took all connections that upstreams accept, so that a daemon that queries shards itself because its delegates are overloaded was refused.

Where others exist, gatherers use four fifths of the connections, at least 2 each. Some of the new tests are merged.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -117,7 +117,7 @@
 	}
 	step := s.step(now.Sub(r.arrivedAt), kind)
 	budgeted := attempts > 0
-	if budgeted && !f.budget.Take(now, s.service, r.budgetDivisor(s.service), kind) {
+	if budgeted && !f.takeBudget(now, r, s, kind) {
 		r.trace.Denied++
 		step.Decision = "denied"
 		r.addStep(step)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -46,6 +46,7 @@
 	balancers map[almondstep.RouteName]*targetBalancer
 	delegates delegatePool
 	load      gatherLoad
+	needed    neededShards
 	rates     budgeter.RateLimiter
 	leaving   leavingRuns
 	silent    silentUpstreams
@@ -84,6 +85,7 @@
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		region:    cfg.Region,
 		load:      gatherLoad{cores: cfg.Cores},
+		needed:    make(neededShards),
 
 		silent:      silentUpstreams{renewInterval: cfg.RenewInterval},
 		crashLimit:  cfg.CrashLimit,
@@ -114,6 +116,7 @@
 			f.delegates.retain(d)
 			f.rates.Retain(d)
 			f.leaving.retain(now, d)
+			f.needed.retain(now)
 			out = f.reportSilentCrashes(now, out)
 		}
 		return f.capDeadlines(now, out)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -108,14 +108,23 @@
 	return kind != budgeter.Hedge && f.rates.Wait(now, u, r.budgetDivisor(s.service)) == 0
 }
 
-// connections returns this daemon's share of the connections to one upstream.
+// minGathererConnections is the number of connections that a gatherer keeps for itself
+// before it leaves a part to daemons that query shards only while they have no delegate.
+const minGathererConnections = 2
+
+// connections returns this daemon's share of the connections to one upstream. Gatherers leave
+// a fifth of those to an upstream of a shard to the other daemons, as they do of the budgets.
 func (f *Forwarder) connections(r *request, s almondstep.ServiceName) int {
 	service, _ := r.directory.Routes().Service(s)
-	callers := r.directory.Daemons()
-	if r.directory.Routes().IsShard(s) && len(r.directory.Delegates()) == 0 {
-		callers = r.directory.Gatherers()
+	limit := service.MaxConnections
+	if !r.directory.Routes().IsShard(s) || len(r.directory.Delegates()) > 0 {
+		return max(1, limit/r.directory.Daemons())
+	}
+	share := limit / r.directory.Gatherers()
+	if r.directory.Gatherers() < r.directory.Daemons() {
+		share = max(min(share, minGathererConnections), share*(othersDivisor-1)/othersDivisor)
 	}
-	return max(1, service.MaxConnections/callers)
+	return max(1, share)
 }
 
 // Four fifths of a limit on the calls to shards are shared by the daemons that
--- a/forwarder/uneven_test.go
+++ b/forwarder/uneven_test.go
@@ -34,25 +34,18 @@
 	return counts
 }
 
-// A delegate that is busier than its size suggests would otherwise get requests in proportion
-// to its size until it fails.
-func TestLessLoadedDelegateGetsMore(t *testing.T) {
-	w := newDelegatingHarness(t)
-	counts := w.playDelegates(1, 60, map[almondstep.DaemonID]float64{"big": 0.8, "small": 0.1})
-	if got, least := counts["small"], 36; got < least {
-		t.Errorf("got %d of 60 requests at the less loaded delegate, want at least %d", got, least)
-	}
-}
-
-// An overloaded delegate gets no requests while its report is recent. If all are overloaded,
-// the daemon queries the shards itself.
+// A busy delegate would otherwise get requests in proportion to its size until it fails. It
+// gets less, and none while it reports that it is overloaded. If all are overloaded, the
+// daemon queries the shards itself.
 func TestOverloadedDelegateIsSkipped(t *testing.T) {
-	w := newDelegatingHarness(t)
-	counts := w.playDelegates(1, 20, map[almondstep.DaemonID]float64{"big": 1.2, "small": 0.1})
-	if got, want := counts["big"], 1; got != want {
-		t.Errorf("got %d requests at the overloaded delegate within 400ms, want %d", got, want)
+	for load, most := range map[float64]int{0.8: 8, 1.2: 1} {
+		w := newDelegatingHarness(t)
+		counts := w.playDelegates(1, 20, map[almondstep.DaemonID]float64{"big": load, "small": 0.1})
+		if got := counts["big"]; got > most || got == 0 {
+			t.Errorf("load %.1f: got %d requests within 400ms, want 1 to %d", load, got, most)
+		}
 	}
-	w = newDelegatingHarness(t)
+	w := newDelegatingHarness(t)
 	w.playDelegates(1, 2, map[almondstep.DaemonID]float64{"big": 1.2, "small": 1})
 	if got, want := len(w.gathers), 2; got != want {
 		t.Fatalf("got %d delegated requests, want %d", got, want)
@@ -151,3 +144,34 @@
 		t.Errorf("got %d calls after the budget's window, want %d with the hedge of the second request", got, want)
 	}
 }
+
+// Budget that returns must go first to a request without its minimum coverage, or it gets no
+// answer while another one only becomes more complete. Here 3 of 4 shards are enough, and the
+// first request has them.
+func TestHedgesForMinimumCoverageComeFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow = 0, 2, 80*time.Millisecond
+	w := newHarness(t, cfg, directory(t, 4, nil))
+	w.request(9, "/one/x")
+	for len(w.calls) < 2 {
+		w.advance(time.Millisecond)
+	}
+	w.request(1, "/search/x")
+	for _, c := range append([]*almondstep.SendCall(nil), w.calls[2:5]...) {
+		if c.Upstream.Service != shardName(0) {
+			w.end(c, almondstep.CallDone, record('a'))
+		}
+	}
+	w.end(w.calls[5], almondstep.CallDone, record('a'))
+	w.request(2, "/search/x")
+	w.advance(120 * time.Millisecond)
+	var hedged []almondstep.QueryID
+	for _, c := range w.calls[10:] {
+		if c.Upstream.Service == shardName(0) {
+			hedged = append(hedged, c.ID)
+		}
+	}
+	if len(hedged) == 0 || hedged[0] != 2 {
+		t.Errorf("got hedges of shard 0 for requests %v, want request 2 first", hedged)
+	}
+}
--- a/picker/uneven_test.go
+++ b/picker/uneven_test.go
@@ -30,13 +30,11 @@
 	p := &picker.Picker{Zone: "a", Region: "x"}
 	u := replicas()[0]
 	now := almondstep.Instant(time.Second)
-	for range 20 {
+	for ; now < almondstep.Instant(2*time.Second); now = now.Add(50 * time.Millisecond) {
 		end(p, now, u, 10*time.Millisecond, almondstep.UpstreamLoad{Slots: 2, Pace: 100})
-		now = now.Add(20 * time.Millisecond)
 	}
 	usual := p.ExpectedLatency(now, u)
-	end(p, now, u, 28*time.Millisecond, almondstep.UpstreamLoad{Slots: 2, Pace: 300})
-	now = now.Add(28 * time.Millisecond)
+	end(p, now.Add(-28*time.Millisecond), u, 28*time.Millisecond, almondstep.UpstreamLoad{Slots: 2, Pace: 300})
 	if got, least := p.ExpectedLatency(now, u), 2*usual; got < least {
 		t.Errorf("got %v at three times the pace, want at least %v", got, least)
 	}
@@ -45,21 +43,8 @@
 	}
 }
 
-// An upstream that reports a queue would otherwise get as many calls as its idle replicas.
-func TestQueuedUpstreamIsAvoided(t *testing.T) {
-	p := &picker.Picker{Zone: "a", Region: "x"}
-	all := replicas()
-	for i, u := range all {
-		end(p, 1, u, 10*time.Millisecond, almondstep.UpstreamLoad{Running: 2 * (1 - i/2), Waiting: 4 * (1 - i/2), Slots: 2})
-	}
-	for range 50 {
-		if u, _ := p.Pick(almondstep.Instant(20*time.Millisecond), all, allUsable); u != all[2] {
-			t.Fatalf("got %s, want the idle upstream", u.ID)
-		}
-	}
-}
-
-// Many daemons that see the same idle upstream would otherwise all call it at once.
+// Many daemons that see the same idle upstream would otherwise all call it at once. One that
+// reports a queue gets no call as long as there are two without.
 func TestIdleUpstreamIsNotHerded(t *testing.T) {
 	const pickers = 300
 	all := replicas()
@@ -67,7 +52,7 @@
 	for seed := range uint64(pickers) {
 		p := &picker.Picker{Zone: "a", Region: "x", Seed: seed * 7919}
 		for i, u := range all {
-			end(p, 1, u, 10*time.Millisecond, almondstep.UpstreamLoad{Running: min(2, 2*i), Slots: 2})
+			end(p, 1, u, 10*time.Millisecond, almondstep.UpstreamLoad{Running: min(2, 2*i), Waiting: 2 * (i / 2), Slots: 2})
 		}
 		u, _ := p.Pick(almondstep.Instant(11*time.Millisecond), all, allUsable)
 		counts[u.ID]++
@@ -75,8 +60,8 @@
 	if got, most := counts["u1"], pickers*2/3; got > most || got < pickers/2 {
 		t.Errorf("got %d of %d calls at the idle upstream, want %d to %d", got, pickers, pickers/2, most)
 	}
-	if counts["u2"] < pickers/8 || counts["u3"] < pickers/8 {
-		t.Errorf("got %v, want both busy upstreams chosen alike", counts)
+	if counts["u2"] < pickers/4 || counts["u3"] > 0 {
+		t.Errorf("got %v, want no call at the upstream that reports a queue", counts)
 	}
 }
 
--- a/watcher/delegates_test.go
+++ b/watcher/delegates_test.go
@@ -9,10 +9,9 @@
 	"almondstep/watcher"
 )
 
-// viewsOf returns the view of each daemon of zone z. cores are those of its daemons,
-// others is the number of daemons in another zone, and connections is the number of
-// connections that each upstream of a shard accepts; 0 means that none is stated.
-func viewsOf(t *testing.T, cores []float64, others, connections int) []*almondstep.View {
+// shardRoutes returns routes over the shards s1 and s2, each upstream of which accepts some
+// connections.
+func shardRoutes(t *testing.T, connections int) *almondstep.RouteTable {
 	t.Helper()
 	search, err := almondstep.NewRoute(almondstep.RouteSpec{
 		Name: "search", Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Second, Shards: []almondstep.ServiceName{"s1", "s2"},
@@ -27,7 +26,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	changes := &almondstep.RegistryChanges{Revision: 9, Routes: routes}
+	return routes
+}
+
+// viewsOf returns the view of each daemon of zone z. cores are those of its daemons,
+// others is the number of daemons in another zone, and connections is the number of
+// connections that each upstream of a shard accepts; 0 means that none is stated.
+func viewsOf(t *testing.T, cores []float64, others, connections int) []*almondstep.View {
+	t.Helper()
+	changes := &almondstep.RegistryChanges{Revision: 9, Routes: shardRoutes(t, connections)}
 	id := func(i int) almondstep.DaemonID { return almondstep.DaemonID(fmt.Sprintf("d%02d", i)) }
 	for i, c := range cores {
 		changes.Daemons = append(changes.Daemons, almondstep.DaemonChange{Daemon: id(i), Alive: true, Zone: "z", Addr: almondstep.Address(id(i)), Cores: c})
--- a/watcher/gatherers_test.go
+++ b/watcher/gatherers_test.go
@@ -17,17 +17,7 @@
 // size. Upstreams of the only shard are in one zone of each region.
 func fleetOf(t *testing.T, daemons, connections int) *almondstep.RegistryChanges {
 	t.Helper()
-	search, err := almondstep.NewRoute(almondstep.RouteSpec{Name: "search", Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Second, Shards: []almondstep.ServiceName{"s1"}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	routes, err := almondstep.NewRouteTable(almondstep.RouteTableSpec{
-		Version: 1, Routes: []almondstep.Route{search}, Services: []almondstep.RoutedService{{Name: "s1", MaxConnections: connections}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	changes := &almondstep.RegistryChanges{Revision: 9, Routes: routes}
+	changes := &almondstep.RegistryChanges{Revision: 9, Routes: shardRoutes(t, connections)}
 	zones := []almondstep.ZoneName{"a1", "a2", "b1", "b2", "c1", "c2"}
 	sizes := []float64{0.19, 0.8, 0.4, 0.25, 0.6, 0.78, 0}
 	for i := range daemons {
