--- a/message_request.go
+++ b/message_request.go
@@ -148,6 +148,11 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
+	// Pace is how long work takes on the upstream's machine now, in percent of its usual
+	// time; 0 if unknown.
+	//
+	// Example: at 200, a request takes twice as long as usual.
+	Pace int `json:"pace,omitempty"`
 }
 
 // CallEnded is the outcome of a SendCall.
@@ -227,6 +232,9 @@
 	Organisation OrganisationName `json:"organisation,omitempty"`
 	// Delegate is the daemon that queried the shards; empty if it was this one.
 	Delegate DaemonID `json:"delegate,omitempty"`
+	// DelegateLoad is the share of its capacity that the delegate uses, as its reply reports;
+	// 0 if unknown.
+	DelegateLoad float64 `json:"delegateLoad,omitempty"`
 	// RegionalDelegate is the daemon of another region to which the shards there were
 	// delegated; empty if none was.
 	RegionalDelegate DaemonID `json:"helper,omitempty"`
