Limit organisations' rates over all daemons

Cause: an organisation's rate and burst were not enforced; forwarder/quota.go passed everything. Change: package allocator holds token buckets at one lender in each region; the coordinator leases fractions of the limits by demand, and the fractions in use sum to at most 1. The forwarder waits for the decision and answers 429, or 503 if no lender is reached.

--- /dev/null
+++ b/allocator/holder.go
@@ -0,0 +1,199 @@
+package allocator
+
+import (
+	"math"
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// leaseTime is how long a lease is valid, counted from the sending of the report.
+	leaseTime = time.Second
+	// clockMargin covers clocks that run at different speeds, as a factor.
+	clockMargin = 1.05
+	// quietTime is how long after its last report to a coordinator a lender may assume that this
+	// coordinator still lends a part of the lender's static fraction: contact counts for one
+	// leaseTime, and a lease that is granted at its end lasts another.
+	quietTime = time.Duration(2 * clockMargin * float64(leaseTime))
+	// roleTime is how long a daemon that becomes a lender uses no static fraction: its predecessor
+	// may learn of the change later.
+	roleTime = 6 * time.Second
+	// maxStaleTime is how long a static fraction is used while the directory is stale: afterwards
+	// other daemons may have removed this one from theirs, and use its fraction. A daemon's entry
+	// is removed 51 s after its last renewal at the earliest.
+	maxStaleTime = 40 * time.Second
+)
+
+// holder is the state of a lender or a deputy in one group.
+type holder struct {
+	static float64
+	// since is when the daemon got the role. initial is set if that was at its start.
+	since   almondstep.Instant
+	initial bool
+	buckets map[almondstep.OrganisationName]*bucket
+	// quietUntil is until when the static fraction may be used by others.
+	quietUntil almondstep.Instant
+
+	// epoch and number identify the last lease of the present coordinator; 0 if there is none.
+	epoch  uint64
+	number uint64
+	// leaseFrom is the sending of the report to which the last lease is the reply. There is none
+	// while fractions is nil.
+	leaseFrom     almondstep.Instant
+	fractions     map[almondstep.OrganisationName]float64
+	otherFraction float64
+	// exceeded has the organisations whose demand is above their limit, as of the last lease.
+	exceeded map[almondstep.OrganisationName]bool
+
+	reporting reporting
+}
+
+// newHolder returns a holder without a lease. A role that is assigned at the start of the process
+// may be older, so that a coordinator may know the daemon's previous process.
+func newHolder(now almondstep.Instant, first bool, startedAt almondstep.Instant) *holder {
+	h := &holder{since: now, initial: first, buckets: make(map[almondstep.OrganisationName]*bucket)}
+	h.quietUntil = now.Add(roleTime)
+	if first {
+		h.quietUntil = startedAt.Add(quietTime)
+	}
+	return h
+}
+
+// setStatic sets the static fraction. A larger one may be in use by others for a while if the
+// daemon becomes a lender.
+func (h *holder) setStatic(now almondstep.Instant, fraction float64) {
+	if h.static == 0 && fraction > 0 && now > h.since {
+		h.quietUntil = max(h.quietUntil, now.Add(roleTime))
+	}
+	h.static = fraction
+}
+
+func (h *holder) settled(now almondstep.Instant) bool { return now >= h.quietUntil }
+
+// leasedUntil is when the last lease ends.
+func (h *holder) leasedUntil() almondstep.Instant {
+	if h.fractions == nil {
+		return 0
+	}
+	return h.leaseFrom.Add(leaseTime)
+}
+
+// leasedFraction is that of the last lease, whether it is valid or not.
+func (h *holder) leasedFraction(o almondstep.OrganisationName) float64 {
+	if f, ok := h.fractions[o]; ok {
+		return f
+	}
+	return h.otherFraction
+}
+
+// fraction returns the fraction of an organisation's limit that the holder may use.
+func (h *holder) fraction(now almondstep.Instant, o almondstep.OrganisationName, stale bool) float64 {
+	switch {
+	case now < h.leasedUntil():
+		return h.leasedFraction(o)
+	case stale:
+		return 0
+	case h.settled(now):
+		return h.static
+	case h.fractions == nil:
+		return 0
+	}
+	return min(h.static, h.leasedFraction(o))
+}
+
+// accept takes over a lease, unless an older coordinator may still lend the static fraction or a
+// later lease has been received. It reports whether the coordinator is a new one.
+func (h *holder) accept(sent almondstep.Instant, settled bool, l *almondstep.QuotaLease) (changed bool) {
+	switch {
+	case l.Epoch != h.epoch && (!settled || l.Number == 0):
+		h.epoch, h.number = 0, 0
+		return false
+	case l.Epoch == h.epoch && l.Number <= h.number:
+		return false
+	}
+	changed = h.epoch != l.Epoch
+	h.epoch, h.number, h.leaseFrom = l.Epoch, l.Number, sent
+	h.otherFraction = l.Default
+	h.fractions = make(map[almondstep.OrganisationName]float64, len(l.Fractions))
+	for _, f := range l.Fractions {
+		h.fractions[f.Organisation] = f.Value
+	}
+	h.exceeded = make(map[almondstep.OrganisationName]bool, len(l.Exceeded))
+	for _, o := range l.Exceeded {
+		h.exceeded[o] = true
+	}
+	return changed
+}
+
+// refillAll brings all buckets of this daemon up to date, and creates those of new organisations.
+func (a *Allocator) refillAll(now almondstep.Instant) {
+	for o := range a.limits {
+		if h := a.holders[a.fleet.groupOf(o)]; h != nil {
+			a.refill(now, h, o)
+		}
+	}
+}
+
+// refill brings a bucket up to date; it returns nil if this daemon holds none of the organisation.
+func (a *Allocator) refill(now almondstep.Instant, h *holder, o almondstep.OrganisationName) *bucket {
+	l := a.limits[o]
+	fraction := h.fraction(now, o, a.staleFrom != 0 && now.Sub(a.staleFrom) > maxStaleTime)
+	if l.single {
+		if a.fleet.groups[a.fleet.groupOf(o)].coordinator().ID != a.cfg.Self {
+			delete(h.buckets, o)
+			return nil
+		}
+		fraction = h.singleFraction(now)
+	}
+	lender := h.static > 0
+	b := h.buckets[o]
+	if b == nil {
+		b = &bucket{updated: now, asked: now}
+		switch {
+		case now.Sub(h.since) > a.cfg.Window && !l.single:
+			// The organisation is new: nothing of its limit has been used.
+			b.content = math.Inf(1)
+		case h.initial:
+			b.content = l.extra(l.initial, lender)
+		}
+		b.depth = b.content
+		h.buckets[o] = b
+	}
+	b.refill(now, l, fraction, l.extra(l.depth, lender))
+	return b
+}
+
+// singleFraction is the fraction of a limit with a single bucket. No coordinator leases it.
+func (h *holder) singleFraction(now almondstep.Instant) float64 {
+	if h.initial && now >= h.since.Add(quietTime) || now >= h.since.Add(roleTime) {
+		return 1
+	}
+	return 0
+}
+
+// lend answers an ask, of another daemon or of this one.
+func (a *Allocator) lend(now almondstep.Instant, ask almondstep.QuotaAsk) almondstep.QuotaAnswer {
+	l, known := a.limits[ask.Organisation]
+	if !known {
+		return almondstep.QuotaAnswer{Unknown: true}
+	}
+	h := a.holders[a.fleet.groupOf(ask.Organisation)]
+	if h == nil {
+		return almondstep.QuotaAnswer{Unknown: true}
+	}
+	b := a.refill(now, h, ask.Organisation)
+	if b == nil {
+		return almondstep.QuotaAnswer{Unknown: true}
+	}
+	if ask.Return {
+		b.content = min(b.depth, b.content+1)
+		return almondstep.QuotaAnswer{Granted: true}
+	}
+	if !ask.Redirected {
+		b.count(now, l)
+	}
+	granted, wait := b.take(l)
+	spare := now < h.leasedUntil() && !h.exceeded[ask.Organisation]
+	return almondstep.QuotaAnswer{Granted: granted, RetryAfter: wait, Elsewhere: !granted && !l.single && !ask.Redirected && spare}
+}
--- /dev/null
+++ b/allocator/limit.go
@@ -0,0 +1,136 @@
+package allocator
+
+import (
+	"math"
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// usedSurplus is the part of the surplus that is used. The rest covers the time between a
+	// grant and the call, and daemons that hold different entries for a while.
+	usedSurplus = 0.9
+	// reserveShare, initialShare and depthShare divide the used surplus.
+	reserveShare = 0.15
+	initialShare = 0.2
+	depthShare   = 0.65
+	// lenderShare is the lenders' part of what lenders and deputies share; a deputy is rarely
+	// asked.
+	lenderShare = 0.85
+	// minRegionalDepth is the depth of a region's bucket, in requests, below which one bucket for
+	// all regions serves an organisation: chance alone would empty smaller ones below the limit.
+	minRegionalDepth = 2
+)
+
+// limit is the limit of one organisation, divided among those who use parts of it. In any window,
+// the requests are at most the sum of the buckets' depths, of the inflow at rate, of the initial
+// contents and of the reserves.
+type limit struct {
+	// rate is in requests per second; the others are in requests.
+	rate    float64
+	burst   float64
+	depth   float64
+	initial float64
+	reserve float64
+	// single is set if one bucket serves all regions.
+	single bool
+	places float64
+}
+
+// limitOf returns the limit of an organisation under the bounds of cfg.
+func limitOf(cfg Config, o *almondstep.Organisation, g group) limit {
+	window := cfg.Window.Seconds()
+	surplus := usedSurplus * (cfg.Overage*(o.Rate()*window+o.Burst()) + cfg.Slack)
+	l := limit{
+		rate:    o.Rate(),
+		burst:   o.Burst(),
+		depth:   surplus * depthShare,
+		initial: surplus * initialShare,
+		reserve: surplus * reserveShare,
+		places:  float64(len(g.places)),
+	}
+	if l.reserve < 1 {
+		l.depth, l.reserve = l.depth+l.reserve, 0
+	}
+	for _, p := range g.places {
+		if p.fraction*l.burst+l.extra(l.depth, true) < minRegionalDepth {
+			l.single = true
+		}
+	}
+	if l.single && l.burst+l.depth < 1 {
+		// The bucket must hold a whole request; the rate makes up for it within the window.
+		l.rate = max(0, l.rate-(1-l.burst-l.depth)/window)
+		l.depth = 1 - l.burst
+	}
+	return l
+}
+
+// extra returns the part of a surplus for one bucket.
+func (l limit) extra(surplus float64, lender bool) float64 {
+	switch {
+	case l.single:
+		return surplus
+	case lender:
+		return surplus * lenderShare / l.places
+	}
+	return surplus * (1 - lenderShare) / l.places
+}
+
+// wholeTolerance absorbs the rounding errors of a bucket's content.
+const wholeTolerance = 1e-9
+
+// bucket is a token bucket. Its content is that of updated.
+type bucket struct {
+	content  float64
+	fraction float64
+	depth    float64
+	updated  almondstep.Instant
+	// demand is the recent rate of requests, granted or not, in requests per second.
+	demand float64
+	asked  almondstep.Instant
+}
+
+// refill adds the inflow since the last refill at the fraction that applied then, and continues
+// with the given fraction. A fraction that falls takes its part of the content with it.
+func (b *bucket) refill(now almondstep.Instant, l limit, fraction, extra float64) {
+	passed := max(0, now.Sub(b.updated)).Seconds()
+	b.content = min(b.depth, b.content+b.fraction*l.rate*passed)
+	b.updated, b.fraction, b.depth = now, fraction, fraction*l.burst+extra
+	b.content = min(b.content, b.depth)
+}
+
+// take takes one request from the bucket; otherwise it returns the time until it holds one.
+func (b *bucket) take(l limit) (bool, time.Duration) {
+	if b.content >= 1-wholeTolerance {
+		b.content--
+		return true, 0
+	}
+	if inflow := b.fraction * l.rate; inflow > 0 && b.depth >= 1 {
+		wait := time.Duration((1 - b.content) / inflow * float64(time.Second))
+		return false, min(max(wait, minRetryAfter), maxRetryAfter)
+	}
+	return false, leaseRetryAfter
+}
+
+const (
+	// minDemandTime is the least time over which demand is averaged, and demandRequests the least
+	// number of requests at the limit's rate: the fractions of a small limit must not follow
+	// single requests.
+	minDemandTime  = 2 * time.Second
+	demandRequests = 8
+)
+
+// demandTime is the time over which the demand for a limit is averaged, in seconds.
+func (l limit) demandTime() float64 { return max(minDemandTime.Seconds(), demandRequests/l.rate) }
+
+// decayed returns the demand as of now.
+func (b *bucket) decayed(now almondstep.Instant, l limit) float64 {
+	return b.demand * math.Exp(-now.Sub(b.asked).Seconds()/l.demandTime())
+}
+
+// count counts a request in the demand.
+func (b *bucket) count(now almondstep.Instant, l limit) {
+	b.demand = b.decayed(now, l) + 1/l.demandTime()
+	b.asked = now
+}
--- /dev/null
+++ b/allocator/model_test.go
@@ -0,0 +1,283 @@
+package allocator_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/allocator"
+)
+
+// model runs the allocators of a fleet in virtual time, with a network that loses messages and
+// clocks of different speeds.
+type model struct {
+	t     *testing.T
+	rng   *rand.Rand
+	cfg   allocator.Config
+	now   time.Duration
+	queue events
+	order int
+	nodes []*node
+	loss  float64
+	// cut holds, for each pair of nodes, whether no message passes.
+	cut func(a, b *node) bool
+	// returns is the probability that a granted request isn't sent, and its quota returned.
+	returns  float64
+	lastID   almondstep.QueryID
+	granted  map[almondstep.OrganisationName][]time.Duration
+	refused  int
+	unknown  int
+	messages map[string]int
+	// reference, if set, decides on each request too; lost counts those of the admissible ones
+	// that the allocators don't grant.
+	reference        *reference
+	admissible, lost int
+}
+
+// reference is one token bucket for all daemons, without any surplus.
+type reference struct {
+	rate, burst, content float64
+	at                   time.Duration
+	admits               map[almondstep.QueryID]bool
+}
+
+func (r *reference) ask(now time.Duration, id almondstep.QueryID) {
+	r.content = min(r.burst, r.content+r.rate*(now-r.at).Seconds())
+	r.at = now
+	if r.content >= 1 {
+		r.content--
+		r.admits[id] = true
+	}
+}
+
+// node is one daemon; epoch counts its processes.
+type node struct {
+	member    almondstep.Member
+	allocator *allocator.Allocator
+	view      *almondstep.View
+	epoch     uint64
+	down      bool
+	// speed is that of its clock.
+	speed float64
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// organisation returns an organisation with a limit.
+func organisation(t *testing.T, name string, rate, burst float64) *almondstep.Organisation {
+	t.Helper()
+	o, err := almondstep.NewOrganisation(almondstep.OrganisationSpec{Name: almondstep.OrganisationName(name), Rate: rate, Burst: burst})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// newModel returns a model of daemons in three regions with two zones each.
+func newModel(t *testing.T, seed uint64, daemons int, cfg allocator.Config, organisations ...*almondstep.Organisation) *model {
+	t.Helper()
+	routes, err := almondstep.NewRouteTable(almondstep.RouteTableSpec{Organisations: organisations})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &model{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, cut: func(*node, *node) bool { return false },
+		granted: map[almondstep.OrganisationName][]time.Duration{}, messages: map[string]int{},
+	}
+	var members []almondstep.Member
+	for i := range daemons {
+		zone := fmt.Sprint(i % 6)
+		members = append(members, almondstep.Member{
+			ID: almondstep.DaemonID(fmt.Sprintf("d%d", i)), Addr: almondstep.Address(fmt.Sprint(i)), Cores: 0.2 + float64(m.rng.IntN(4))/10,
+			Zone: almondstep.ZoneName(zone), Region: almondstep.RegionName(fmt.Sprint(i % 3)),
+		})
+	}
+	d := almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: members, Daemons: daemons})
+	for _, member := range members {
+		n := &node{member: member, view: almondstep.NewView(almondstep.ViewSpec{Directory: d}), speed: 0.99 + 0.02*m.rng.Float64()}
+		m.nodes = append(m.nodes, n)
+		m.start(n)
+	}
+	for _, n := range m.nodes {
+		m.tick(n)
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, run func()) {
+	m.order++
+	heap.Push(&m.queue, event{at: m.now + d, order: m.order, run: run})
+}
+
+func (m *model) run(d time.Duration) {
+	until := m.now + d
+	for len(m.queue) > 0 && m.queue[0].at <= until {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.run()
+	}
+	m.now = until
+}
+
+// start starts a new process of a daemon.
+func (m *model) start(n *node) {
+	n.epoch++
+	cfg := m.cfg
+	cfg.Self, cfg.Epoch = n.member.ID, n.epoch*1000+uint64(len(m.nodes))+m.rng.Uint64N(1<<40)<<16
+	n.allocator, n.down = allocator.New(cfg), false
+}
+
+func (m *model) tick(n *node) {
+	m.reduce(n, &almondstep.ControlTick{})
+	m.after(almondstep.TickInterval+time.Duration(m.rng.IntN(int(20*time.Millisecond))), func() { m.tick(n) })
+}
+
+// reduce passes an event to a daemon and performs the effects.
+func (m *model) reduce(n *node, e almondstep.Event) {
+	if n.down {
+		return
+	}
+	now := almondstep.Instant(float64(m.now) * n.speed)
+	for _, f := range n.allocator.Reduce(now, n.view, e, nil) {
+		switch f := f.(type) {
+		case *almondstep.QuotaDecided:
+			m.decided(n, f)
+		case *almondstep.SendQuotaAsk:
+			m.messages["ask"]++
+			m.call(n, f.To, &almondstep.QuotaAsked{Ask: f.Ask}, f.Timeout, func(reply almondstep.Effect) almondstep.Event {
+				e := &almondstep.QuotaAnswered{Call: f.Call, Err: "no answer"}
+				if r, ok := reply.(*almondstep.ReplyQuotaAsk); ok {
+					e.Answer = &r.Answer
+				}
+				return e
+			})
+		case *almondstep.SendQuotaReport:
+			m.messages["report"]++
+			m.call(n, f.To, &almondstep.QuotaReported{Report: f.Report}, f.Timeout, func(reply almondstep.Effect) almondstep.Event {
+				e := &almondstep.QuotaLeased{Call: f.Call, Err: "no answer"}
+				if r, ok := reply.(*almondstep.ReplyQuotaReport); ok {
+					e.Lease = &r.Lease
+				}
+				return e
+			})
+		}
+	}
+}
+
+// call sends a message and its reply; the caller gets one outcome, the reply or the timeout. The
+// message arrives also if its sender has given up.
+func (m *model) call(from *node, id almondstep.DaemonID, e almondstep.Event, timeout time.Duration, outcome func(almondstep.Effect) almondstep.Event) {
+	to, epoch, ended := m.node(id), from.epoch, false
+	end := func(reply almondstep.Effect) {
+		if !ended && from.epoch == epoch {
+			ended = true
+			m.reduce(from, outcome(reply))
+		}
+	}
+	m.after(timeout, func() { end(nil) })
+	m.send(from, to, func() {
+		if to.down {
+			return
+		}
+		for _, reply := range to.allocator.Reduce(almondstep.Instant(float64(m.now)*to.speed), to.view, e, nil) {
+			switch reply.(type) {
+			case *almondstep.ReplyQuotaAsk, *almondstep.ReplyQuotaReport:
+				m.send(to, from, func() { end(reply) })
+			}
+		}
+	})
+}
+
+// send delivers a message after the latency between two daemons, and sometimes much later.
+func (m *model) send(from, to *node, deliver func()) {
+	if m.cut(from, to) || m.rng.Float64() < m.loss {
+		return
+	}
+	latency := 20 * time.Millisecond
+	if from.member.Region == to.member.Region {
+		latency = 900 * time.Microsecond
+	}
+	if m.loss > 0 && m.rng.IntN(50) == 0 {
+		latency += time.Duration(m.rng.Int64N(int64(2 * time.Second)))
+	}
+	m.after(latency, deliver)
+}
+
+func (m *model) node(id almondstep.DaemonID) *node {
+	for _, n := range m.nodes {
+		if n.member.ID == id {
+			return n
+		}
+	}
+	m.t.Fatalf("no daemon %q", id)
+	return nil
+}
+
+func (m *model) decided(n *node, e *almondstep.QuotaDecided) {
+	if m.reference != nil && m.reference.admits[e.ID] {
+		m.admissible++
+		if !e.Granted {
+			m.lost++
+		}
+	}
+	switch {
+	case e.Granted && m.rng.Float64() < m.returns:
+		m.reduce(n, &almondstep.ReturnQuota{Organisation: e.Organisation})
+	case e.Granted:
+		m.granted[e.Organisation] = append(m.granted[e.Organisation], m.now)
+	case e.Unknown:
+		m.unknown++
+	default:
+		m.refused++
+	}
+}
+
+// ask asks for quota at a random daemon among the given ones.
+func (m *model) ask(o almondstep.OrganisationName, at []*node) {
+	m.lastID++
+	if m.reference != nil {
+		m.reference.ask(m.now, m.lastID)
+	}
+	m.reduce(at[m.rng.IntN(len(at))], &almondstep.RequestQuota{ID: m.lastID, Organisation: o})
+}
+
+// load asks for an organisation's quota at random times, at a mean rate per second.
+func (m *model) load(o almondstep.OrganisationName, rate float64, at []*node) {
+	m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		m.ask(o, at)
+		m.load(o, rate, at)
+	})
+}
+
+// mostInWindow returns the largest number of granted requests in any window.
+func (m *model) mostInWindow(o almondstep.OrganisationName) int {
+	most, first := 0, 0
+	for i, at := range m.granted[o] {
+		for m.granted[o][first] <= at-m.cfg.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/answer.go
+++ b/answer.go
@@ -66,6 +66,7 @@
 	CodeCallerGone      RefusalCode = "callerGone"
 	CodeUnauthorized    RefusalCode = "unauthorized"
 	CodeRateLimited     RefusalCode = "rateLimited"
+	CodeNoQuota         RefusalCode = "noQuota"
 	CodeBodyTooLarge    RefusalCode = "bodyTooLarge"
 	CodeBadBody         RefusalCode = "badBody"
 )
--- a/directory.go
+++ b/directory.go
@@ -68,6 +68,18 @@
 	gatherers         int
 	delegates         []Delegate
 	regionalDelegates map[RegionName][]Delegate
+	members           []Member
+}
+
+// Member is one daemon of the fleet, as the registry lists it.
+type Member struct {
+	ID     DaemonID
+	Zone   ZoneName
+	Region RegionName
+	// Addr is where other daemons reach it; empty for the daemon itself.
+	Addr Address
+	// Cores is the CPU capacity of its VM, in cores.
+	Cores float64
 }
 
 // DirectorySpec is the input of NewDirectory.
@@ -90,6 +102,8 @@
 	// RegionalDelegates are, for each other region, the daemons that query its
 	// upstreams on behalf of this daemon.
 	RegionalDelegates map[RegionName][]Delegate
+	// Members are all daemons that have an address, and this one, in any order.
+	Members []Member
 }
 
 // NewDirectory creates a directory. The caller must not change what the spec refers
@@ -103,6 +117,7 @@
 		gatherers:         spec.Gatherers,
 		delegates:         spec.Delegates,
 		regionalDelegates: spec.RegionalDelegates,
+		members:           spec.Members,
 	}
 	if d.gatherers <= 0 || d.gatherers > d.daemons {
 		d.gatherers = d.daemons
@@ -141,6 +156,9 @@
 	return d.regionalDelegates[region]
 }
 
+// Members are all daemons that have an address, and this one. The caller must not change it.
+func (d *Directory) Members() []Member { return d.members }
+
 // RegionalDelegatesByRegion maps each other region to its regional delegates. The
 // caller must not change it.
 func (d *Directory) RegionalDelegatesByRegion() map[RegionName][]Delegate { return d.regionalDelegates }
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -83,7 +83,7 @@
 	if r.overShards() {
 		if reachable := f.reachable(now, r); !r.covers(reachable) {
 			delete(f.requests, r.id)
-			return append(out, refuseUnsent(r, reachable))
+			return r.returnQuota(append(out, refuseUnsent(r, reachable)))
 		}
 	}
 	r.trace.Missing = nil
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -194,6 +194,9 @@
 		return out
 	}
 	r.answered = true
+	if r.openCalls == 0 {
+		out = r.returnQuota(out)
+	}
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], 0, out)
 	}
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -15,6 +15,9 @@
 	if now >= r.timerAt {
 		r.timerAt = 0
 	}
+	if r.quota == quotaAsked {
+		return f.quotaTimer(now, r, out)
+	}
 	for i := range r.shards {
 		s := &r.shards[i]
 		if !s.settled && now >= s.hedgeAt {
@@ -77,6 +80,9 @@
 func (f *Forwarder) answer(now almondstep.Instant, r *request, reply *almondstep.Reply, out []almondstep.Effect) []almondstep.Effect {
 	r.answered = true
 	out = append(out, &almondstep.ReplyRequest{ID: r.id, Reply: reply})
+	if reply.Outcome == almondstep.OutcomeNotRun {
+		out = r.returnQuota(out)
+	}
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], abandonedCallTimeout, out)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,6 +97,8 @@
 		return f.callEnded(now, e, out)
 	case *almondstep.GatherEnded:
 		return f.gatherEnded(now, e, out)
+	case *almondstep.QuotaDecided:
+		return f.quotaDecided(now, e, out)
 	case *almondstep.RTTMeasured:
 		f.rttMeasured(now, e)
 	case *almondstep.RequestTimer:
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -15,6 +15,7 @@
 	// organisation is that of the caller; nil if the route is public, if the routes define no
 	// organisations, or if another daemon has delegated the request.
 	organisation *almondstep.Organisation
+	quota        quotaState
 	arrivedAt    almondstep.Instant
 	// answerBy is the latest time at which an answer meets the latency target; a
 	// partial answer is sent then.
--- a/interfaces.go
+++ b/interfaces.go
@@ -79,6 +79,18 @@
 	Gather(ctx context.Context, to Address, req *GatherRequest) (*Reply, error)
 }
 
+// QuotaServer serves what other daemons ask about the quotas of organisations.
+type QuotaServer interface {
+	AskQuota(ctx context.Context, ask QuotaAsk) (*QuotaAnswer, error)
+	ReportQuota(ctx context.Context, report *QuotaReport) (*QuotaLease, error)
+}
+
+// QuotaClient asks other daemons about the quotas of organisations.
+type QuotaClient interface {
+	AskQuota(ctx context.Context, to Address, ask QuotaAsk) (*QuotaAnswer, error)
+	ReportQuota(ctx context.Context, to Address, report *QuotaReport) (*QuotaLease, error)
+}
+
 // RegistryUpdateClient requests registry updates from another daemon. It returns
 // ErrCorrupt if a patch in the update doesn't fit the request's PatchBases.
 type RegistryUpdateClient interface {
--- a/message_request.go
+++ b/message_request.go
@@ -222,6 +222,8 @@
 	Version RouteVersion `json:"version"`
 	// Organisation is that of the caller; empty if it isn't known.
 	Organisation OrganisationName `json:"organisation,omitempty"`
+	// QuotaBy is the daemon that decided on the quota of the organisation; empty if none did.
+	QuotaBy DaemonID `json:"quotaBy,omitempty"`
 	// Delegate is the daemon that queried the shards; empty if it was this one.
 	Delegate DaemonID `json:"delegate,omitempty"`
 	// RegionalDelegate is the daemon of another region to which the shards there were
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -35,10 +35,11 @@
 // Server serves the messages of other daemons.
 type Server struct {
 	// Peer serves Works and control messages, RegistryUpdates registry updates and
-	// Gatherer delegated requests; calls to a nil one fail with ErrUnavailable.
+	// Gatherer delegated requests, and Quotas the quotas of organisations; calls to a nil one fail with ErrUnavailable.
 	Peer            almondstep.PeerServer
 	RegistryUpdates almondstep.RegistryUpdateServer
 	Gatherer        almondstep.GatherServer
+	Quotas          almondstep.QuotaServer
 	// TLS is the certificate and the authorities; nil disables TLS.
 	TLS *tls.Config
 	// Budget bounds the memory of the requests that are being served; nil doesn't.
@@ -80,6 +81,9 @@
 	if s.Gatherer != nil {
 		services.Handle(peerpb.DelegatePathPrefix, peerpb.NewDelegateServer(&gatherHandler{gatherer: s.Gatherer}))
 	}
+	if s.Quotas != nil {
+		services.Handle(peerpb.QuotaPathPrefix, peerpb.NewQuotaServer(&quotaHandler{quotas: s.Quotas, sent: s.Sent}))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
--- a/route_table.go
+++ b/route_table.go
@@ -146,6 +146,9 @@
 // HasOrganisations reports whether callers need an API key for routes that aren't public.
 func (t *RouteTable) HasOrganisations() bool { return len(t.organisations) > 0 }
 
+// Organisations maps the names of all organisations to them. The caller must not change it.
+func (t *RouteTable) Organisations() map[OrganisationName]*Organisation { return t.organisations }
+
 // Organisation looks up an organisation by its name.
 func (t *RouteTable) Organisation(name OrganisationName) (*Organisation, bool) {
 	o, ok := t.organisations[name]
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -41,7 +41,9 @@
 	case almondstep.QueryEvent, almondstep.QuotaEvent, almondstep.RolloutEvent:
 		r.deliver(f)
 	default:
-		r.Logger.Error("unhandled effect", "kind", f.Kind())
+		if !r.performQuota(f) {
+			r.Logger.Error("unhandled effect", "kind", f.Kind())
+		}
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -48,6 +48,8 @@
 	// Registry and Exchanger serve routed requests; nil if there are none.
 	Registry  almondstep.Registry
 	Exchanger almondstep.Exchanger
+	// Quotas is the client for the quotas of organisations; nil if there are none.
+	Quotas almondstep.QuotaClient
 	// Delegates is the client for registry updates and delegated requests; NextQuery generates
 	// the ID of a request that another daemon delegates to this one.
 	Delegates almondstep.DelegateClient
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -240,6 +240,7 @@
 		Gatherers:         gatherers,
 		Delegates:         w.delegates(gatherers),
 		RegionalDelegates: w.regionalDelegates(gatherers),
+		Members:           w.members(),
 	})
 	return w.publishAge(out)
 }
--- a/watcher/delegates.go
+++ b/watcher/delegates.go
@@ -90,3 +90,14 @@
 	}
 	return zone
 }
+
+// members lists all daemons that have an address, and this one.
+func (w *Watcher) members() []almondstep.Member {
+	var all []almondstep.Member
+	for _, zone := range w.zones() {
+		for _, d := range w.zoneBySize(zone) {
+			all = append(all, almondstep.Member{ID: d.ID, Zone: zone, Region: w.cfg.Regions[zone], Addr: d.Addr, Cores: d.Cores})
+		}
+	}
+	return all
+}
