--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -40,7 +40,10 @@
 type Allocator struct {
 	cfg       Config
 	directory *almondstep.Directory
-	fleet     *fleet
+	// members and routes are those from which fleet and limits were made.
+	members []almondstep.Member
+	routes  *almondstep.RouteTable
+	fleet   *fleet
 	// groups is the number of groups for which roles were assigned last.
 	groups int
 	// startedAt is when the process began; staleFrom is since when the directory is stale, or 0.
@@ -110,8 +113,14 @@
 	if len(members) == 0 {
 		members = []almondstep.Member{{ID: a.cfg.Self}}
 	}
+	if d.Routes() == a.routes && slices.Equal(members, a.members) {
+		return out
+	}
 	first := a.fleet == nil
-	a.fleet = newFleet(members, a.cfg.Self)
+	if first || !slices.Equal(members, a.members) {
+		a.fleet, a.members = newFleet(members, a.cfg.Self), members
+	}
+	a.routes = d.Routes()
 	a.updateLimits()
 	out = a.updateRoles(now, first, out)
 	a.refillAll(now)
@@ -122,7 +131,7 @@
 // that are gone.
 func (a *Allocator) updateLimits() {
 	clear(a.limits)
-	for name, o := range a.directory.Routes().Organisations() {
+	for name, o := range a.routes.Organisations() {
 		if o.Limited() {
 			a.limits[name] = limitOf(a.cfg, o, a.fleet.groups[a.fleet.groupOf(name)])
 		}
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -128,6 +128,9 @@
 
 // refillAll brings all buckets of this daemon up to date, and creates those of new organisations.
 func (a *Allocator) refillAll(now almondstep.Instant) {
+	if len(a.holders) == 0 {
+		return
+	}
 	for o := range a.limits {
 		if h := a.holders[a.fleet.groupOf(o)]; h != nil {
 			a.refill(now, h, o)
--- a/forwarder/harness_test.go
+++ b/forwarder/harness_test.go
@@ -38,6 +38,9 @@
 	// crashed lists the reports of crashes, survived counts those that a request survived.
 	crashed  []*almondstep.RequestCrashed
 	survived int
+	// quotas lists the asks for quota, returned counts what was returned.
+	quotas   []*almondstep.RequestQuota
+	returned int
 }
 
 // testConfig returns the configuration of most tests.
@@ -82,6 +85,10 @@
 			w.crashed = append(w.crashed, f)
 		case *almondstep.RequestSurvived:
 			w.survived++
+		case *almondstep.RequestQuota:
+			w.quotas = append(w.quotas, f)
+		case *almondstep.ReturnQuota:
+			w.returned++
 		case *almondstep.ReplyRequest:
 			if w.replies[f.ID] != nil {
 				w.t.Fatalf("request %v was answered twice", f.ID)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -40,6 +40,9 @@
 	platform  cache[platformKey, *metrics.Counter]
 	routes    cache[almondstep.RouteName, *routeMetrics]
 	replies   cache[replyKey, *metrics.Counter]
+
+	organisationLabels boundedLabels
+	organisations      cache[organisationKey, *metrics.Counter]
 }
 
 type routeMetrics struct {
@@ -60,6 +63,12 @@
 	code    almondstep.RefusalCode
 }
 
+// organisationKey has the labels of the counter of an organisation's requests.
+type organisationKey struct {
+	organisation almondstep.OrganisationName
+	code         almondstep.RefusalCode
+}
+
 // callerKey has the labels of a caller's metrics.
 type callerKey struct {
 	tenant almondstep.TenantName
@@ -106,6 +115,8 @@
 	serviceLimit = 64
 	kindLimit    = 32
 	routeLimit   = 256
+
+	organisationLimit = 50
 )
 
 // New returns a Recorder. The gauges of the view are 0 until ViewPublished is called.
@@ -115,6 +126,7 @@
 	r.serviceLabels.limit = serviceLimit
 	r.kindLabels.limit = kindLimit
 	r.routeLabels.limit = routeLimit
+	r.organisationLabels.limit = organisationLimit
 	r.addGauges()
 	return r
 }
@@ -192,6 +204,12 @@
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
 	}
+	if o := t.Organisation; o != "" {
+		if !r.organisationLabels.admit(string(o)) {
+			o = otherLabel
+		}
+		r.organisations.get(organisationKey{organisation: o, code: reply.Code}, r.newOrganisation).Inc()
+	}
 	r.replies.get(replyKey{route: route, outcome: reply.Outcome, code: reply.Code}, r.newReply).Inc()
 }
 
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -89,3 +89,8 @@
 	return r.set.GetOrCreateCounter(labeled(requests,
 		"route", string(k.route), "outcome", string(k.outcome), "code", string(k.code)))
 }
+
+func (r *Recorder) newOrganisation(k organisationKey) *metrics.Counter {
+	return r.set.GetOrCreateCounter(labeled(organisationRequests,
+		"organisation", string(k.organisation), "code", string(k.code)))
+}
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -24,33 +24,34 @@
 
 // Names of the metrics.
 const (
-	answers          = "almondstep_answers_total"
-	answerSeconds    = "almondstep_answer_seconds"
-	answerCoverage   = "almondstep_answer_coverage_ratio"
-	answerCodes      = "almondstep_answer_codes_total"
-	attempts         = "almondstep_attempts_total"
-	attemptsNeeded   = "almondstep_attempts_needed_total"
-	attemptsExtra    = "almondstep_attempts_extra_total"
-	calls            = "almondstep_upstream_calls_total"
-	callSeconds      = "almondstep_upstream_call_seconds"
-	controlMessages  = "almondstep_control_messages_total"
-	controlBytes     = "almondstep_control_sent_bytes_total"
-	platformCalls    = "almondstep_platform_calls_total"
-	requests         = "almondstep_requests_total"
-	requestSeconds   = "almondstep_request_seconds"
-	requestCoverage  = "almondstep_request_coverage_ratio"
-	requestCalls     = "almondstep_request_calls_total"
-	requestExtra     = "almondstep_request_extra_calls_total"
-	requestDenied    = "almondstep_request_denied_calls_total"
-	requestLimited   = "almondstep_request_limited_shards_total"
-	requestBroken    = "almondstep_request_disconnects_total"
-	linesDropped     = "almondstep_log_lines_dropped_total"
-	revision         = "almondstep_revision"
-	ready            = "almondstep_ready"
-	knownDaemons     = "almondstep_known_daemons"
-	quarantined      = "almondstep_quarantined_requests"
-	ownedUpstreams   = "almondstep_owned_upstreams"
-	grantedUpstreams = "almondstep_granted_upstreams"
+	answers              = "almondstep_answers_total"
+	answerSeconds        = "almondstep_answer_seconds"
+	answerCoverage       = "almondstep_answer_coverage_ratio"
+	answerCodes          = "almondstep_answer_codes_total"
+	attempts             = "almondstep_attempts_total"
+	attemptsNeeded       = "almondstep_attempts_needed_total"
+	attemptsExtra        = "almondstep_attempts_extra_total"
+	calls                = "almondstep_upstream_calls_total"
+	callSeconds          = "almondstep_upstream_call_seconds"
+	controlMessages      = "almondstep_control_messages_total"
+	controlBytes         = "almondstep_control_sent_bytes_total"
+	platformCalls        = "almondstep_platform_calls_total"
+	requests             = "almondstep_requests_total"
+	requestSeconds       = "almondstep_request_seconds"
+	requestCoverage      = "almondstep_request_coverage_ratio"
+	requestCalls         = "almondstep_request_calls_total"
+	requestExtra         = "almondstep_request_extra_calls_total"
+	requestDenied        = "almondstep_request_denied_calls_total"
+	requestLimited       = "almondstep_request_limited_shards_total"
+	requestBroken        = "almondstep_request_disconnects_total"
+	organisationRequests = "almondstep_organisation_requests_total"
+	linesDropped         = "almondstep_log_lines_dropped_total"
+	revision             = "almondstep_revision"
+	ready                = "almondstep_ready"
+	knownDaemons         = "almondstep_known_daemons"
+	quarantined          = "almondstep_quarantined_requests"
+	ownedUpstreams       = "almondstep_owned_upstreams"
+	grantedUpstreams     = "almondstep_granted_upstreams"
 )
 
 // Metrics lists every metric a daemon has, in the order of the documentation.
@@ -65,6 +66,11 @@
 			"Routed requests answered, by outcome and the code that says why one isn't complete.",
 			"The log line with the request's id says which shards were missing and how their last calls ended.",
 		},
+		{
+			organisationRequests, Counter, "requests", "organisation, code",
+			"Requests of the first 50 organisations seen, by the code that says why one isn't complete.",
+			"rateLimited: the organisation is above its rate over all daemons. noQuota: this daemon reaches no lender of quotas; the log says which it leaves alone.",
+		},
 		{
 			requestSeconds, Histogram, "seconds", "route",
 			"Time from a routed request's arrival to its answer.",
