Ask other regions' lenders also after a lender's start; test faults below the limit

Change: a lender that must not use its static fraction yet points to the others, and states when it may.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -142,3 +142,44 @@
 		}
 	}
 }
+
+// While daemons are lost or a region is cut off, most requests below the limit are still served: the
+// lender's deputy and static fractions take over. At 0.5 of the limit, over 30 s after the fault.
+func TestFaultsBelowLimit(t *testing.T) {
+	for _, l := range []struct{ rate, burst float64 }{{2, 2}, {19, 19}} {
+		for _, fault := range []string{"lender", "coordinator", "region", "restart"} {
+			m := newModel(t, 10, 34, bounds(20), organisation(t, "o", l.rate, l.burst))
+			m.load("o", 0.5*l.rate, m.everywhere)
+			m.run(20 * time.Second)
+			m.fault(fault)
+			before := [4]int{len(m.granted["o"]), m.refused, m.unknown, int(m.lastID)}
+			m.run(30 * time.Second)
+			all := float64(int(m.lastID) - before[3])
+			served := float64(len(m.granted["o"])-before[0]) / all
+			t.Logf("rate %v, %s: %.3f served of %v, %d refused, %d undecided", l.rate, fault, served, all, m.refused-before[1], m.unknown-before[2])
+			if served < 0.9 {
+				t.Errorf("rate %v, %s: got %v served, want 0.9", l.rate, fault, served)
+			}
+		}
+	}
+}
+
+// fault takes the coordinator or another lender away, cuts a region off, or restarts all daemons.
+func (m *model) fault(what string) {
+	switch what {
+	case "lender", "coordinator":
+		for _, n := range m.nodes {
+			if n != m.coordinator && m.reporters[n.member.ID] && n.member.Region != m.coordinator.member.Region && what == "lender" {
+				n.down = true
+				return
+			}
+		}
+		m.coordinator.down = true
+	case "region":
+		m.cut = func(a, b *node) bool { return (a.member.Region == "1") != (b.member.Region == "1") }
+	case "restart":
+		for _, n := range m.nodes {
+			m.start(n)
+		}
+	}
+}
--- a/allocator/fleet.go
+++ b/allocator/fleet.go
@@ -69,9 +69,16 @@
 // in rendezvous order. The deputy is in another zone if the region has one. Group n has the n-th
 // largest, so that groups don't share lenders in a region that has enough daemons.
 func choose(key string, n int, members []almondstep.Member) (lender, deputy almondstep.Member) {
+	scores := make(map[almondstep.DaemonID]uint64, len(members))
+	for _, m := range members {
+		scores[m.ID] = score(key, string(m.ID))
+	}
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b almondstep.Member) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(score(key, string(a.ID)), score(key, string(b.ID))), cmp.Compare(a.ID, b.ID))
+		if a.Cores != b.Cores {
+			return cmp.Compare(b.Cores, a.Cores)
+		}
+		return cmp.Or(cmp.Compare(scores[a.ID], scores[b.ID]), cmp.Compare(a.ID, b.ID))
 	})
 	at := n % len(order)
 	lender = order[at]
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -197,6 +197,11 @@
 		b.count(now, l)
 	}
 	granted, wait := b.take(l)
-	spare := now < h.leasedUntil() && !h.exceeded[ask.Organisation]
+	leased := now < h.leasedUntil()
+	spare := leased && !h.exceeded[ask.Organisation]
+	if !leased && !h.settled(now) && b.fraction == 0 {
+		// After a start another lender may be ahead of this one.
+		wait, spare = max(wait, h.quietUntil.Sub(now)), true
+	}
 	return almondstep.QuotaAnswer{Granted: granted, RetryAfter: wait, Elsewhere: !granted && !l.single && !ask.Redirected && spare}
 }
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,12 +30,15 @@
 	// returns is the probability that a granted request isn't sent, and its quota returned.
 	returns float64
 	// lender is the daemon that was asked last.
-	lender   *node
-	lastID   almondstep.QueryID
-	granted  map[almondstep.OrganisationName][]time.Duration
-	refused  int
-	unknown  int
-	messages map[string]int
+	lender *node
+	// coordinator is the daemon that a report went to last, reporters are those that report.
+	coordinator *node
+	reporters   map[almondstep.DaemonID]bool
+	lastID      almondstep.QueryID
+	granted     map[almondstep.OrganisationName][]time.Duration
+	refused     int
+	unknown     int
+	messages    map[string]int
 	// reference, if set, decides on each request too; lost counts those of the admissible ones
 	// that the allocators don't grant.
 	reference        *reference
@@ -107,7 +111,7 @@
 	}
 	m := &model{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, cut: func(*node, *node) bool { return false },
-		granted: map[almondstep.OrganisationName][]time.Duration{}, messages: map[string]int{},
+		granted: map[almondstep.OrganisationName][]time.Duration{}, messages: map[string]int{}, reporters: map[almondstep.DaemonID]bool{},
 	}
 	var members []almondstep.Member
 	for i := range daemons {
@@ -184,6 +188,7 @@
 			})
 		case *almondstep.SendQuotaReport:
 			m.messages["report"]++
+			m.coordinator, m.reporters[n.member.ID] = m.node(f.To), true
 			m.call(n, f.To, &almondstep.QuotaReported{Report: f.Report}, f.Timeout, func(reply almondstep.Effect) almondstep.Event {
 				e := &almondstep.QuotaLeased{Call: f.Call, Err: "no answer"}
 				if r, ok := reply.(*almondstep.ReplyQuotaReport); ok {
@@ -280,7 +285,10 @@
 	})
 }
 
-func (m *model) everywhere() []*node { return m.nodes }
+// everywhere lists the daemons that run.
+func (m *model) everywhere() []*node {
+	return slices.DeleteFunc(slices.Clone(m.nodes), func(n *node) bool { return n.down })
+}
 
 // mostInWindow returns the largest number of granted requests in any window.
 func (m *model) mostInWindow(o almondstep.OrganisationName) int {
