--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -183,3 +184,85 @@
 		}
 	}
 }
+
+// The fractions that lenders have by their last leases sum to at most 1, while demand moves between
+// them and replies are lost. A larger fraction must wait until another lender has confirmed a smaller
+// one.
+func TestLeasedFractionsSumToOne(t *testing.T) {
+	for seed := range uint64(200) {
+		m := newModel(t, seed, 12, bounds(20), organisation(t, "o", 20, 20))
+		m.run(3 * time.Second)
+		c := m.coordinator
+		if !m.reporters[c.member.ID] {
+			m.reporters[c.member.ID] = true
+		}
+		ids := slices.Sorted(maps.Keys(m.reporters))
+		// The coordinator runs alone from here on; its lenders are simulated.
+		m.queue = nil
+		leases, lost := map[almondstep.DaemonID]almondstep.QuotaLease{}, map[almondstep.DaemonID]int{}
+		for step := range 400 {
+			m.now += 40 * time.Millisecond
+			id := ids[step%len(ids)]
+			report := almondstep.QuotaReport{From: id, Settled: true, Epoch: leases[id].Epoch, Lease: leases[id].Number}
+			report.Demand = []almondstep.OrganisationShare{{Organisation: "o", Value: float64(m.rng.IntN(3)*m.rng.IntN(30)) + 0.1}}
+			now := almondstep.Instant(float64(m.now) * c.speed)
+			for _, f := range c.allocator.Reduce(now, c.view, &almondstep.QuotaReported{Report: report}, nil) {
+				r, ok := f.(*almondstep.ReplyQuotaReport)
+				if !ok || lost[id] < 2 && m.rng.IntN(3) == 0 {
+					lost[id]++
+					continue
+				}
+				leases[id], lost[id] = r.Lease, 0
+			}
+			sum := 0.0
+			for _, id := range ids {
+				for _, f := range leases[id].Fractions {
+					sum += f.Value
+				}
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("seed %d, step %d: got fractions that sum to %v, want at most 1", seed, step, sum)
+			}
+		}
+	}
+}
+
+// A region whose static fraction is lent to another doesn't use it until that loan has ended, 2 s
+// after the region was cut off, and then does.
+func TestLentFractionIsNotUsedAtOnce(t *testing.T) {
+	const rate = 60.0
+	m := newModel(t, 11, 12, bounds(0), organisation(t, "o", rate, 6))
+	var cutOff []*node
+	for _, n := range m.nodes {
+		if n.member.Region == "1" {
+			cutOff = append(cutOff, n)
+		}
+	}
+	m.load("o", 10*rate, func() []*node {
+		return slices.DeleteFunc(m.everywhere(), func(n *node) bool { return n.member.Region == "1" })
+	})
+	m.run(10 * time.Second)
+	m.fault("region")
+	m.run(1300 * time.Millisecond)
+	m.load("o", 10*rate, func() []*node { return cutOff })
+	granted := func(d time.Duration) int {
+		before := 0
+		for _, n := range cutOff {
+			before += n.granted
+		}
+		m.run(d)
+		after := 0
+		for _, n := range cutOff {
+			after += n.granted
+		}
+		return after - before
+	}
+	// The bucket holds 5 by its part of the surplus.
+	if got, most := granted(500*time.Millisecond), 6; got > most {
+		t.Errorf("got %d requests while the fraction is lent, want at most %d", got, most)
+	}
+	m.run(2 * time.Second)
+	if got, least := granted(5*time.Second), int(rate/3*5*0.9); got < least {
+		t.Errorf("got %d requests after that, want at least %d", got, least)
+	}
+}
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -70,6 +70,8 @@
 	down      bool
 	// speed is that of its clock.
 	speed float64
+	// granted counts the requests granted to its clients.
+	granted int
 }
 
 type event struct {
@@ -260,6 +262,7 @@
 	case e.Granted && m.rng.Float64() < m.returns:
 		m.reduce(n, &almondstep.ReturnQuota{Organisation: e.Organisation})
 	case e.Granted:
+		n.granted++
 		m.granted[e.Organisation] = append(m.granted[e.Organisation], m.now)
 	case e.Unknown:
 		m.unknown++
