Keep the bound while a limit changes between one bucket and several

Change: after such a change the smaller fraction of both applies for 6 s; a daemon that becomes the holder of single buckets waits as long; the number of regions decides, not the sizes.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -51,6 +51,7 @@
 	startedAt almondstep.Instant
 	staleFrom almondstep.Instant
 	limits    map[almondstep.OrganisationName]limit
+	modes     map[almondstep.OrganisationName]mode
 	// holders and coordinators hold this daemon's roles, by group.
 	holders      map[int]*holder
 	coordinators map[int]*coordinator
@@ -61,11 +62,18 @@
 	reserves     map[almondstep.OrganisationName][]almondstep.Instant
 }
 
+// mode is whether one bucket serves all regions, and from when all daemons know that.
+type mode struct {
+	single      bool
+	settledFrom almondstep.Instant
+}
+
 // New returns an Allocator that knows no other daemons yet.
 func New(cfg Config) *Allocator {
 	return &Allocator{
 		cfg:          cfg,
 		limits:       make(map[almondstep.OrganisationName]limit),
+		modes:        make(map[almondstep.OrganisationName]mode),
 		holders:      make(map[int]*holder),
 		coordinators: make(map[int]*coordinator),
 		asks:         make(map[almondstep.CallID]*pendingAsk),
@@ -121,7 +129,7 @@
 		a.fleet, a.members = newFleet(members, a.cfg.Self), members
 	}
 	a.routes = d.Routes()
-	a.updateLimits()
+	a.updateLimits(now)
 	out = a.updateRoles(now, first, out)
 	a.refillAll(now)
 	return out
@@ -129,14 +137,21 @@
 
 // updateLimits computes the limits of the organisations anew, and forgets those of organisations
 // that are gone.
-func (a *Allocator) updateLimits() {
+func (a *Allocator) updateLimits(now almondstep.Instant) {
 	clear(a.limits)
 	for name, o := range a.routes.Organisations() {
 		if o.Limited() {
-			a.limits[name] = limitOf(a.cfg, o, a.fleet.groups[a.fleet.groupOf(name)])
+			l := limitOf(a.cfg, o, a.fleet.groups[a.fleet.groupOf(name)])
+			a.limits[name] = l
+			if m, ok := a.modes[name]; !ok {
+				a.modes[name] = mode{single: l.single}
+			} else if m.single != l.single {
+				a.modes[name] = mode{single: l.single, settledFrom: now.Add(roleTime)}
+			}
 		}
 	}
 	gone := func(o almondstep.OrganisationName) bool { _, ok := a.limits[o]; return !ok }
+	maps.DeleteFunc(a.modes, func(o almondstep.OrganisationName, _ mode) bool { return gone(o) })
 	maps.DeleteFunc(a.reserves, func(o almondstep.OrganisationName, _ []almondstep.Instant) bool { return gone(o) })
 	for _, h := range a.holders {
 		maps.DeleteFunc(h.buckets, func(o almondstep.OrganisationName, _ *bucket) bool { return gone(o) })
@@ -165,6 +180,7 @@
 			continue
 		}
 		h.setStatic(now, fraction)
+		h.setHome(now, a.fleet.groups[n].coordinator().ID == a.cfg.Self)
 		if fraction > 0 && a.coordinators[n] == nil {
 			a.coordinators[n] = newCoordinator(a.cfg.Epoch)
 		}
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -32,6 +32,10 @@
 	since   almondstep.Instant
 	initial bool
 	buckets map[almondstep.OrganisationName]*bucket
+	// home is set if the daemon is the coordinator, which holds the single buckets, and homeFrom is
+	// from when it may use them.
+	home     bool
+	homeFrom almondstep.Instant
 	// quietUntil is until when the static fraction may be used by others.
 	quietUntil almondstep.Instant
 
@@ -142,18 +146,24 @@
 func (a *Allocator) refill(now almondstep.Instant, h *holder, o almondstep.OrganisationName) *bucket {
 	l := a.limits[o]
 	fraction := h.fraction(now, o, a.staleFrom != 0 && now.Sub(a.staleFrom) > maxStaleTime)
-	if l.single {
-		if a.fleet.groups[a.fleet.groupOf(o)].coordinator().ID != a.cfg.Self {
-			delete(h.buckets, o)
-			return nil
-		}
-		fraction = h.singleFraction(now)
+	// For a while after a change between one bucket and several, others may not know of it: the
+	// holder uses the smaller of both fractions.
+	changed := now < a.modes[o].settledFrom
+	switch {
+	case l.single && !h.home:
+		delete(h.buckets, o)
+		return nil
+	case l.single && !changed:
+		fraction = h.homeFraction(now)
+	case !l.single && changed && !h.home:
+		fraction = 0
 	}
 	lender := h.static > 0
 	b := h.buckets[o]
 	if b == nil {
 		b = &bucket{updated: now, asked: now}
 		switch {
+		case changed:
 		case now.Sub(h.since) > a.cfg.Window && !l.single:
 			// The organisation is new: nothing of its limit has been used.
 			b.content = math.Inf(1)
@@ -167,9 +177,21 @@
 	return b
 }
 
-// singleFraction is the fraction of a limit with a single bucket. No coordinator leases it.
-func (h *holder) singleFraction(now almondstep.Instant) float64 {
-	if h.initial && now >= h.since.Add(quietTime) || now >= h.since.Add(roleTime) {
+// setHome sets whether the daemon holds the single buckets. A predecessor may learn of a change
+// later.
+func (h *holder) setHome(now almondstep.Instant, home bool) {
+	if home && !h.home {
+		h.homeFrom = now.Add(roleTime)
+		if h.initial && now == h.since {
+			h.homeFrom = h.quietUntil
+		}
+	}
+	h.home = home
+}
+
+// homeFraction is the fraction of a limit with a single bucket. Nobody leases it.
+func (h *holder) homeFraction(now almondstep.Instant) float64 {
+	if now >= h.homeFrom {
 		return 1
 	}
 	return 0
--- a/allocator/limit.go
+++ b/allocator/limit.go
@@ -53,11 +53,8 @@
 	if l.reserve < 1 {
 		l.depth, l.reserve = l.depth+l.reserve, 0
 	}
-	for _, p := range g.places {
-		if p.fraction*l.burst+l.extra(l.depth, true) < minRegionalDepth {
-			l.single = true
-		}
-	}
+	// The number of regions decides, which changes less often than that of their daemons.
+	l.single = l.burst/l.places+l.extra(l.depth, true) < minRegionalDepth
 	if l.single && l.burst+l.depth < 1 {
 		// The bucket must hold a whole request; the rate makes up for it within the window.
 		l.rate = max(0, l.rate-(1-l.burst-l.depth)/window)
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -271,8 +271,11 @@
 	}
 }
 
-// ask asks for quota at a random daemon among the given ones.
+// ask asks for quota at a random daemon among the given ones, if there are any.
 func (m *model) ask(o almondstep.OrganisationName, at []*node) {
+	if len(at) == 0 {
+		return
+	}
 	m.lastID++
 	if m.reference != nil {
 		m.reference.ask(m.now, m.lastID)
