Use a raised static fraction only once all daemons can know it

Change: for 6 s after a change, the lower value is used and the higher one reserved. In the model, a node's view never goes back any more.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -52,6 +52,7 @@
 	staleFrom almondstep.Instant
 	limits    map[almondstep.OrganisationName]limit
 	modes     map[almondstep.OrganisationName]mode
+	statics   []map[almondstep.DaemonID]staticFraction
 	// holders and coordinators hold this daemon's roles, by group.
 	holders      map[int]*holder
 	coordinators map[int]*coordinator
@@ -130,6 +131,7 @@
 	}
 	a.routes = d.Routes()
 	a.updateLimits(now)
+	a.updateStatics(now)
 	out = a.updateRoles(now, first, out)
 	a.refillAll(now)
 	return out
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -91,10 +91,15 @@
 	case 6:
 		// A daemon is lost; the others learn of it one after the other.
 		n.down = true
-		members := slices.DeleteFunc(slices.Clone(n.view.Directory().Members()), func(o almondstep.Member) bool { return o.ID == n.member.ID })
-		view := m.viewOf(members)
+		m.members = slices.DeleteFunc(slices.Clone(m.members), func(o almondstep.Member) bool { return o.ID == n.member.ID })
+		m.changes++
+		view, change := m.viewOf(m.members), m.changes
 		for _, other := range m.nodes {
-			m.after(time.Duration(m.rng.Int64N(int64(4*time.Second))), func() { other.view = view })
+			m.after(time.Duration(m.rng.Int64N(int64(4*time.Second))), func() {
+				if change > other.changes {
+					other.view, other.changes = view, change
+				}
+			})
 		}
 	case 7:
 		m.cut, m.loss = func(*node, *node) bool { return false }, 0
--- a/allocator/coordinator.go
+++ b/allocator/coordinator.go
@@ -55,16 +55,16 @@
 type share struct {
 	id     almondstep.DaemonID
 	state  *lenderState
-	static float64
+	static staticFraction
 	// weight divides what nobody has a demand for.
 	weight float64
 }
 
 // shares lists the lenders and deputies of a group.
-func (c *coordinator) shares(g group) []share {
+func (c *coordinator) shares(g group, statics map[almondstep.DaemonID]staticFraction) []share {
 	var all []share
 	for _, p := range g.places {
-		all = append(all, share{id: p.lender.ID, state: c.lenders[p.lender.ID], static: p.fraction, weight: p.fraction})
+		all = append(all, share{id: p.lender.ID, state: c.lenders[p.lender.ID], static: statics[p.lender.ID], weight: p.fraction})
 		if p.deputy.ID != "" {
 			all = append(all, share{id: p.deputy.ID, state: c.lenders[p.deputy.ID], weight: p.fraction * deputyWeight})
 		}
@@ -80,11 +80,12 @@
 		return almondstep.QuotaLease{Refused: true}
 	}
 	g := a.fleet.groups[r.Group]
-	static, holds := g.fractionOf(r.From)
+	_, holds := g.fractionOf(r.From)
 	if !holds {
 		return almondstep.QuotaLease{Refused: true}
 	}
 	s := c.reported(now, r)
+	static := a.static(r.Group, r.From).used(now)
 	lease := almondstep.QuotaLease{Epoch: c.epoch, Default: static}
 	if !r.Settled && r.Epoch != c.epoch {
 		return lease
@@ -97,7 +98,7 @@
 		if !known || l.single {
 			continue
 		}
-		f := c.fractionFor(now, r.From, c.shares(g), o, l)
+		f := c.fractionFor(now, r.From, c.shares(g, a.statics[r.Group]), o, l)
 		fractions[o] = f
 		if c.demandOf(o) > exceededDemand*l.rate {
 			lease.Exceeded = append(lease.Exceeded, o)
@@ -192,7 +193,7 @@
 		}
 	}
 	if !s.inContact(now) {
-		used = max(used, s.static)
+		used = max(used, s.static.reserved(now))
 	}
 	return used
 }
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -92,18 +92,18 @@
 }
 
 // fraction returns the fraction of an organisation's limit that the holder may use.
-func (h *holder) fraction(now almondstep.Instant, o almondstep.OrganisationName, stale bool) float64 {
+func (h *holder) fraction(now almondstep.Instant, o almondstep.OrganisationName, static float64, stale bool) float64 {
 	switch {
 	case now < h.leasedUntil():
 		return h.leasedFraction(o)
 	case stale:
 		return 0
 	case h.settled(now):
-		return h.static
+		return static
 	case h.fractions == nil:
 		return 0
 	}
-	return min(h.static, h.leasedFraction(o))
+	return min(static, h.leasedFraction(o))
 }
 
 // accept takes over a lease, unless an older coordinator may still lend the static fraction or a
@@ -145,7 +145,8 @@
 // refill brings a bucket up to date; it returns nil if this daemon holds none of the organisation.
 func (a *Allocator) refill(now almondstep.Instant, h *holder, o almondstep.OrganisationName) *bucket {
 	l := a.limits[o]
-	fraction := h.fraction(now, o, a.staleFrom != 0 && now.Sub(a.staleFrom) > maxStaleTime)
+	static := a.static(a.fleet.groupOf(o), a.cfg.Self).used(now)
+	fraction := h.fraction(now, o, static, a.staleFrom != 0 && now.Sub(a.staleFrom) > maxStaleTime)
 	// For a while after a change between one bucket and several, others may not know of it: the
 	// holder uses the smaller of both fractions.
 	changed := now < a.modes[o].settledFrom
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -23,6 +23,9 @@
 	order int
 	nodes []*node
 	loss  float64
+	// members are the daemons that haven't left, changes counts those that have.
+	members []almondstep.Member
+	changes int
 	// viewOf returns a view of some daemons.
 	viewOf func([]almondstep.Member) *almondstep.View
 	// cut holds, for each pair of nodes, whether no message passes.
@@ -70,6 +73,8 @@
 	down      bool
 	// speed is that of its clock.
 	speed float64
+	// changes is the number of changes of the fleet that its view has.
+	changes int
 	// granted counts the requests granted to its clients.
 	granted int
 }
@@ -128,6 +133,7 @@
 			Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: members, Daemons: len(members)}),
 		})
 	}
+	m.members = members
 	view := m.viewOf(members)
 	for _, member := range members {
 		n := &node{member: member, view: view, speed: 0.998 + 0.004*m.rng.Float64()}
