Stop lending in a region that has lost the store and the others for long

Cause: after 51 s the daemons that reach the store drop the entries of those that don't, and divide the limits anew; a cut-off lender that acted as its own coordinator kept its fraction. Change: a coordinator with a directory that is stale for 40 s grants leases only while lenders with more than half of the static fractions report to it.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -271,3 +271,30 @@
 		t.Errorf("got %d requests after that, want at least %d", got, least)
 	}
 }
+
+// A region that is cut off from the store too stops after 40 s, since the others may have divided the
+// limit among themselves by then; the store's outage alone changes nothing.
+func TestLongPartitionFromStore(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		m := newModel(t, 12, 12, bounds(0), organisation(t, "o", 30, 6))
+		for _, n := range m.nodes {
+			n.view = almondstep.NewView(almondstep.ViewSpec{Directory: n.view.Directory(), DirectoryFreshUntil: 1})
+		}
+		if cut {
+			m.fault("region")
+		}
+		m.run(60 * time.Second)
+		m.load("o", 60, m.everywhere)
+		m.run(10 * time.Second)
+		got := 0
+		for _, n := range m.nodes {
+			if n.member.Region == "1" {
+				got += n.granted
+			}
+		}
+		// The bucket of a region without a fraction holds 2 by its part of the surplus.
+		if cut && got > 2 || !cut && got < 80 {
+			t.Errorf("cut off %v: got %d requests in the region, want at most 2 if it is and 80 if not", cut, got)
+		}
+	}
+}
--- a/allocator/coordinator.go
+++ b/allocator/coordinator.go
@@ -85,6 +85,9 @@
 		return almondstep.QuotaLease{Refused: true}
 	}
 	s := c.reported(now, r)
+	if a.stale(now) && !c.reachesMajority(now, g) {
+		return almondstep.QuotaLease{Refused: true}
+	}
 	static := a.static(r.Group, r.From).used(now)
 	lease := almondstep.QuotaLease{Epoch: c.epoch, Default: static}
 	if !r.Settled && r.Epoch != c.epoch {
@@ -143,6 +146,19 @@
 	return s
 }
 
+// reachesMajority reports whether lenders with more than half of the static fractions report. A
+// coordinator with an old directory that reaches fewer may be cut off, and the others may have divided
+// the limits anew.
+func (c *coordinator) reachesMajority(now almondstep.Instant, g group) bool {
+	sum := 0.0
+	for _, p := range g.places {
+		if s := c.lenders[p.lender.ID]; s != nil && now.Sub(s.reportedAt) < leaseTime {
+			sum += p.fraction
+		}
+	}
+	return sum > 0.5
+}
+
 // active lists the organisations with demand, or with fractions that a lender may still use.
 func (c *coordinator) active() []almondstep.OrganisationName {
 	all := make(map[almondstep.OrganisationName]struct{})
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -130,6 +130,12 @@
 	return changed
 }
 
+// stale reports whether the directory has been stale for so long that others may not count on this
+// daemon any more.
+func (a *Allocator) stale(now almondstep.Instant) bool {
+	return a.staleFrom != 0 && now.Sub(a.staleFrom) > maxStaleTime
+}
+
 // refillAll brings all buckets of this daemon up to date, and creates those of new organisations.
 func (a *Allocator) refillAll(now almondstep.Instant) {
 	if len(a.holders) == 0 {
@@ -146,7 +152,7 @@
 func (a *Allocator) refill(now almondstep.Instant, h *holder, o almondstep.OrganisationName) *bucket {
 	l := a.limits[o]
 	static := a.static(a.fleet.groupOf(o), a.cfg.Self).used(now)
-	fraction := h.fraction(now, o, static, a.staleFrom != 0 && now.Sub(a.staleFrom) > maxStaleTime)
+	fraction := h.fraction(now, o, static, a.stale(now))
 	// For a while after a change between one bucket and several, others may not know of it: the
 	// holder uses the smaller of both fractions.
 	changed := now < a.modes[o].settledFrom
