--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -15,6 +15,9 @@
 	if now >= r.timerAt {
 		r.timerAt = 0
 	}
+	if r.quota == quotaAsked {
+		return f.quotaTimer(now, r, out)
+	}
 	for i := range r.shards {
 		s := &r.shards[i]
 		if !s.settled && now >= s.hedgeAt {
@@ -80,6 +83,9 @@
 		reply.Trace.DelegateLoad = f.load.share(now, len(f.calls))
 	}
 	out = append(out, &almondstep.ReplyRequest{ID: r.id, Reply: reply})
+	if reply.Outcome == almondstep.OutcomeNotRun {
+		out = r.returnQuota(out)
+	}
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], abandonedCallTimeout, out)
 	}
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -240,6 +240,7 @@
 		Gatherers:         gatherers.count,
 		Delegates:         gatherers.delegates,
 		RegionalDelegates: gatherers.regional,
+		Members:           w.members(),
 	})
 	return w.publishAge(w.reportRole(gatherers, out))
 }
