Tell the eras of a restored store apart

Cause: after a restore from a copy, revisions go back and are assigned again. Daemons compared them with those from before and either ignored new entries or reverted to the copy's.

The watcher reconciles the first full read of a later era with its cache: what comes from the copy replaces nothing, what was lost is kept for 10 s, own entries are written again within 1 s.

--- a/recorder/gauges.go
+++ b/recorder/gauges.go
@@ -6,6 +6,7 @@
 // the metrics are written.
 func (r *Recorder) addGauges() {
 	r.gauge(revision, func(v *almondstep.View) float64 { return float64(v.Revision()) })
+	r.gauge(registryEra, func(v *almondstep.View) float64 { return float64(v.RegistryEra()) })
 	r.gauge(ready, readiness)
 	r.gauge(knownDaemons, func(v *almondstep.View) float64 { return float64(len(v.Peers())) })
 	r.gauge(quarantined, func(v *almondstep.View) float64 { return float64(v.Status().Quarantined) })
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -46,6 +46,7 @@
 	requestBroken    = "almondstep_request_disconnects_total"
 	linesDropped     = "almondstep_log_lines_dropped_total"
 	revision         = "almondstep_revision"
+	registryEra      = "almondstep_registry_era"
 	ready            = "almondstep_ready"
 	knownDaemons     = "almondstep_known_daemons"
 	quarantined      = "almondstep_quarantined_requests"
@@ -180,6 +181,11 @@
 			"Revision of the configuration in force here; 0 if none.",
 			"Behind the other daemons for more than 3 s: look at whether this daemon reaches any other.",
 		},
+		{
+			registryEra, Gauge, "restores", "",
+			"How often the platform's store was restored from a copy, as of this daemon's registry cache.",
+			"Lower than at the other daemons for more than 6 s: look at whether this daemon reaches any other. A rise: check that operators wrote again what they had changed.",
+		},
 		{
 			ready, Gauge, "0 or 1", "",
 			"Whether callers should be sent here.",
--- a/view.go
+++ b/view.go
@@ -19,6 +19,7 @@
 	answerBy            Instant
 	directory           *Directory
 	directoryFreshUntil Instant
+	registryEra         uint64
 	keysValidUntil      Instant
 }
 
@@ -155,6 +156,8 @@
 	// DirectoryFreshUntil is the instant until which the directory counts as
 	// complete, unless a newer view extends it; 0 means that it always does.
 	DirectoryFreshUntil Instant
+	// RegistryEra counts the restores of the registry from a copy, as of the directory.
+	RegistryEra uint64
 	// KeysValidUntil is the instant until which callers' API keys are accepted, unless a
 	// newer view extends it; 0 means that they always are.
 	KeysValidUntil Instant
@@ -180,6 +183,7 @@
 		directory:           spec.Directory,
 		directoryFreshUntil: spec.DirectoryFreshUntil,
 		keysValidUntil:      spec.KeysValidUntil,
+		registryEra:         spec.RegistryEra,
 	}
 }
 
@@ -192,6 +196,9 @@
 // Revision is the revision of the configuration in effect at this daemon.
 func (v *View) Revision() Revision { return v.revision }
 
+// RegistryEra counts the restores of the registry from a copy, as of the directory.
+func (v *View) RegistryEra() uint64 { return v.registryEra }
+
 // Catalog is the configuration in effect at this daemon; nil if there is none yet.
 func (v *View) Catalog() *Catalog { return v.catalog }
 
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -9,15 +9,15 @@
 // apply applies changes to the registry cache, logs those that affect requests, and
 // reports whether a new directory must be published.
 func (w *Watcher) apply(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) (bool, []almondstep.Effect) {
-	c := e.Changes
+	c := w.newContent(e)
 	changed := w.applyRoutes(c.Routes)
 	if changed {
 		out = append(out, w.report("routes in force", string(w.cfg.Self), "", uint64(w.routes.Version())))
 	}
 	if e.Full {
-		changed = w.dropUnlisted(now, c) || changed
+		changed = w.dropUnlisted(now, e.Changes) || changed
 	}
-	upstreams, out := w.applyUpstreams(now, e, out)
+	upstreams, out := w.applyUpstreams(now, c, e.Full, out)
 	changed = upstreams || changed
 	for _, z := range c.DrainedZones {
 		if !w.applyZone(z) {
@@ -29,7 +29,7 @@
 	for _, d := range c.Daemons {
 		changed = w.applyDaemon(now, d) || changed
 	}
-	crashes, out := w.applyCrashes(now, e, out)
+	crashes, out := w.applyCrashes(now, e, c.Crashes, out)
 	changed = crashes || changed
 	return changed || w.publishedDaemons != w.daemonCount(), out
 }
@@ -40,23 +40,24 @@
 
 // applyUpstreams applies changes of upstreams and reports whether there were any. It
 // logs them unless the read was a full one.
-func (w *Watcher) applyUpstreams(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) (bool, []almondstep.Effect) {
+func (w *Watcher) applyUpstreams(now almondstep.Instant, c *almondstep.RegistryChanges, full bool, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	var reports []almondstep.Effect
 	changed := false
-	for _, u := range e.Changes.Upstreams {
+	for _, u := range c.Upstreams {
+		u = w.keepsLeaving(u)
 		before := w.listing.entries[u.Key]
 		var applied bool
 		if applied, out = w.applyUpstream(now, u, out); !applied {
 			continue
 		}
 		changed = true
-		if !e.Full {
+		if !full {
 			reports = w.reportUpstream(u, before, reports)
 		}
 	}
 	if len(reports) > maxReportedUpstreams {
 		count := strconv.Itoa(len(reports)) + " entries"
-		return changed, append(out, w.report("many upstreams changed", string(w.cfg.Self), count, e.Changes.Revision))
+		return changed, append(out, w.report("many upstreams changed", string(w.cfg.Self), count, c.Revision))
 	}
 	return changed, append(out, reports...)
 }
@@ -146,8 +147,10 @@
 		listed[u.Key] = true
 	}
 	changed := false
+	// What is of an earlier era than the listing is left to settleUnlisted.
+	isEarlier := func(revision uint64) bool { return almondstep.EraOf(revision) < almondstep.EraOf(c.Revision) }
 	for key, held := range w.listing.entries {
-		if !listed[key] && held.revision <= c.Revision {
+		if !listed[key] && held.revision <= c.Revision && !isEarlier(held.revision) {
 			changed = w.remove(now, key) || changed
 		}
 	}
@@ -155,8 +158,8 @@
 	for _, z := range c.DrainedZones {
 		drained[z.Zone] = true
 	}
-	for zone := range w.drainedZones {
-		if !drained[zone] {
+	for zone, held := range w.drainedZones {
+		if !drained[zone] && !isEarlier(held.revision) {
 			changed = w.applyZone(almondstep.ZoneChange{Zone: zone, Revision: c.Revision}) || changed
 		}
 	}
@@ -259,6 +262,7 @@
 		Directory:           w.directory,
 		Quarantined:         w.crashes.quarantine.Requests(),
 		Crashes:             w.crashes.quarantine.Crashes(),
+		RegistryEra:         almondstep.EraOf(w.revision),
 		DirectoryFreshUntil: max(1, w.confirmedAt.Add(w.cfg.MaxAge)),
 	}
 	if w.cfg.KeyMaxAge > 0 {
--- a/watcher/crash_log.go
+++ b/watcher/crash_log.go
@@ -44,7 +44,9 @@
 	records map[almondstep.CrashRecord]crashEntry
 	// own lists the records that this daemon has written, oldest first. observedAt has, for
 	// these and for those of the registry, when this daemon learned of them.
-	own        []almondstep.CrashRecord
+	own []almondstep.CrashRecord
+	// evidence has the evidence of the records in own, to write them again.
+	evidence   map[almondstep.CrashRecord]almondstep.CrashEvidence
 	observedAt map[almondstep.CrashRecord]almondstep.Instant
 	// toAdd and toRemove are to be written next, from nextAt on; writing is whether a
 	// write is pending.
@@ -68,6 +70,7 @@
 		quarantine: quarantiner.Quarantine{Limit: CrashLimit, MaxCrashes: maxCrashes, Duration: CrashMemory, MaxRequests: maxSuspects},
 		records:    make(map[almondstep.CrashRecord]crashEntry),
 		observedAt: make(map[almondstep.CrashRecord]almondstep.Instant),
+		evidence:   make(map[almondstep.CrashRecord]almondstep.CrashEvidence),
 		retry:      minAnnounceRetry,
 	}
 }
@@ -92,6 +95,7 @@
 // add queues a record. Beyond maxOwnRecords, one of this daemon's is removed.
 func (l *crashLog) add(now almondstep.Instant, r almondstep.CrashRecord, e almondstep.CrashEvidence) {
 	l.observe(now, r)
+	l.evidence[r] = e
 	l.toAdd = append(l.toAdd, almondstep.CrashChange{CrashRecord: r, CrashEvidence: e})
 	if l.isOwn(r) {
 		return
@@ -107,6 +111,7 @@
 func (l *crashLog) remove(r almondstep.CrashRecord) {
 	same := func(o almondstep.CrashRecord) bool { return o == r }
 	l.own = slices.DeleteFunc(l.own, same)
+	delete(l.evidence, r)
 	sameAdded := func(c almondstep.CrashChange) bool { return c.CrashRecord == r }
 	if i := slices.IndexFunc(l.toAdd, sameAdded); i >= 0 {
 		l.toAdd = slices.Delete(l.toAdd, i, i+1)
@@ -174,15 +179,18 @@
 	}
 }
 
-// withUnlisted adds the removals of the records that a full read doesn't list.
-func (l *crashLog) withUnlisted(listed []almondstep.CrashChange, revision uint64) []almondstep.CrashChange {
+// withUnlisted adds the removals of the records that a full read doesn't list. After a
+// restore, those that were lost stay until the grace is over, and those that this daemon
+// writes again.
+func (l *crashLog) withUnlisted(changes, listed []almondstep.CrashChange, revision uint64, restored restored) []almondstep.CrashChange {
 	kept := make(map[almondstep.CrashRecord]bool, len(listed))
 	for _, c := range listed {
 		kept[c.CrashRecord] = true
 	}
-	all := slices.Clone(listed)
+	all := slices.Clone(changes)
 	for r, held := range l.records {
-		if !kept[r] && held.revision <= revision {
+		isLost := almondstep.EraOf(held.revision) < almondstep.EraOf(revision) && (l.isOwn(r) || !restored.wasRemoved(held.revision))
+		if !kept[r] && held.revision <= revision && !isLost {
 			all = append(all, almondstep.CrashChange{CrashRecord: r, Removed: true, Revision: revision})
 		}
 	}
--- a/watcher/crashes.go
+++ b/watcher/crashes.go
@@ -80,11 +80,10 @@
 }
 
 // applyCrashes applies changes of the records, and reports whether there were any.
-func (w *Watcher) applyCrashes(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) (bool, []almondstep.Effect) {
+func (w *Watcher) applyCrashes(now almondstep.Instant, e *almondstep.RegistryRead, changes []almondstep.CrashChange, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	l := &w.crashes
-	changes := e.Changes.Crashes
 	if e.Full {
-		changes = l.withUnlisted(changes, e.Changes.Revision)
+		changes = l.withUnlisted(changes, e.Changes.Crashes, e.Changes.Revision, w.restored)
 	}
 	changed := false
 	for _, c := range changes {
--- a/watcher/journal.go
+++ b/watcher/journal.go
@@ -26,6 +26,10 @@
 	longKeys map[string]struct{}
 	// previous has the previous versions of the long entries, oldest first.
 	previous map[string][]almondstep.RegistryEntry
+	// superseded has the versions of entries that were replaced lately.
+	superseded versions
+	// era is that of the latest update. Daemons of an earlier era get all entries.
+	era uint64
 }
 
 // maxPreviousVersions is the number of previous versions of a long entry that are
@@ -43,7 +47,13 @@
 
 // record adds changes up to a revision. If full is set, they are all entries at that
 // revision, and those that aren't among them are recorded as removed.
-func (j *journal) record(entries []almondstep.RegistryEntry, full bool, revision uint64) {
+// If the registry was restored, r says which of them come from the copy.
+func (j *journal) record(entries []almondstep.RegistryEntry, full bool, revision uint64, r restored) {
+	j.era = max(j.era, almondstep.EraOf(revision))
+	if full && r.copied != 0 {
+		j.recordRestored(entries, r, revision)
+		return
+	}
 	if full {
 		j.removeUnlisted(entries, revision)
 	}
@@ -58,6 +68,9 @@
 	if known && held.Revision > e.Revision {
 		return
 	}
+	if known && held.Revision < e.Revision {
+		j.superseded.add(held)
+	}
 	if known && held.Removed {
 		j.removals--
 	}
@@ -135,11 +148,15 @@
 }
 
 // since lists the changes after a revision, oldest first. If the revision is 0 or not
-// all removals since then are kept, it lists all entries and full is true.
+// all removals since then are kept, or it is of an earlier era, it lists all entries and
+// full is true. To an earlier era it adds the removals since, which would otherwise be taken
+// for entries that were lost.
 func (j *journal) since(after uint64) (entries []almondstep.RegistryEntry, full bool) {
-	full = after == 0 || after < j.from
+	isBehind := after != 0 && almondstep.EraOf(after) < j.era
+	full = after == 0 || after < j.from || isBehind
 	for _, e := range j.entries {
-		if e.Revision > after && !full || full && !e.Removed {
+		isRemovedSince := e.Removed && isBehind && almondstep.EraOf(e.Revision) == j.era
+		if e.Revision > after && !full || full && !e.Removed || isRemovedSince {
 			entries = append(entries, e)
 		}
 	}
--- a/watcher/listing.go
+++ b/watcher/listing.go
@@ -26,6 +26,8 @@
 	revision uint64
 	// dropAt is when a lapsed entry is dropped; 0 if it isn't lapsed.
 	dropAt almondstep.Instant
+	// leavingSince is the era in which the upstream was first listed as leaving, if it is.
+	leavingSince uint64
 }
 
 func newListing() listing {
@@ -40,8 +42,12 @@
 
 // put adds or replaces the entry of an upstream.
 func (l *listing) put(key string, u *almondstep.Upstream, revision uint64) {
+	e := &entry{upstream: u, revision: revision, leavingSince: almondstep.EraOf(revision)}
+	if held := l.entries[key]; held != nil && held.upstream.Leaving && held.upstream.Run() == u.Run() {
+		e.leavingSince = held.leavingSince
+	}
 	l.drop(key)
-	l.entries[key] = &entry{upstream: u, revision: revision}
+	l.entries[key] = e
 	if l.keys[u.Service] == nil {
 		l.keys[u.Service] = make(map[string]struct{})
 	}
--- a/watcher/reading.go
+++ b/watcher/reading.go
@@ -162,9 +162,11 @@
 		r.awaitingReply = false
 	}
 	switch {
+	case e.Compacted && w.skipHistory():
+		out = append(out, w.report("registry doesn't have the history since its copy", string(w.cfg.Self), e.Err, w.revision))
 	case e.Compacted:
 		w.needsFullRead = true
-		out = append(out, w.report("registry history was compacted; reading the full registry", string(w.cfg.Self), "", w.revision))
+		out = append(out, w.report("registry history was compacted; reading the full registry", string(w.cfg.Self), e.Err, w.revision))
 	case e.Err != "":
 		w.readFailed(now, e)
 	default:
@@ -219,6 +221,11 @@
 		w.backOff(now, e.From, minBackoff)
 		return out
 	}
+	if w.isEarlierEra(e.Changes) {
+		w.reads.cause = "the update of " + sourceName(e.From) + " is of an earlier era"
+		w.backOff(now, e.From, minBackoff)
+		return out
+	}
 	confirmedBefore := w.confirmedAt
 	w.confirm(now, e)
 	out = w.merge(now, e, out)
@@ -306,12 +313,21 @@
 
 // merge applies the changes to the registry cache and publishes the result.
 func (w *Watcher) merge(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
+	isRestored := w.isRestored(e)
+	if isRestored {
+		out = w.beginRestored(now, e, out)
+		w.confirmListed(e.Changes)
+	}
 	changed, out := w.apply(now, e, out)
-	w.journal.record(e.Changes.Entries, e.Full, e.Changes.Revision)
-	if e.Full && e.From == "" {
-		w.needsFullRead = false
+	w.journal.record(e.Changes.Entries, e.Full, e.Changes.Revision, w.restored)
+	if isRestored {
+		out = w.settleUnlisted(now, e.Changes, out)
+	}
+	if e.From == "" {
+		w.needsFullRead = w.needsFullRead && !e.Full
+		w.restored.readAt = 0
 	}
-	w.revision = max(w.revision, e.Changes.Revision)
+	w.revision = w.positionAfter(e, isRestored)
 	if changed {
 		return w.publish(out)
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -91,6 +91,7 @@
 	publishedDaemons     int
 	crashes              crashLog
 	ended                endedRuns
+	restored             restored
 	// orders lists the daemons of each zone in the order that determines their place in
 	// the tree; nil if it must be rebuilt.
 	orders map[almondstep.ZoneName][]almondstep.DaemonID
@@ -161,7 +162,8 @@
 
 func (w *Watcher) tick(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	expired, out := w.expire(now, out)
-	if expired || w.publishedDaemons != w.daemonCount() {
+	lost, out := w.endRestoreGrace(now, out)
+	if expired || lost || w.publishedDaemons != w.daemonCount() {
 		out = w.publish(out)
 	}
 	out = w.replyDue(now, out)
@@ -183,6 +185,7 @@
 		return out
 	}
 	w.announcing = true
+	w.restored.announceAt = 0
 	return append(out, &almondstep.AnnounceDaemon{TTL: leaseTTL})
 }
 
@@ -191,6 +194,10 @@
 	if e.Err == "" {
 		w.announceRetry = minAnnounceRetry
 		w.announceAt = now.Add(renewInterval)
+		if w.restored.announceAt != 0 {
+			// The registry was restored while this announcement was under way.
+			w.announceAt = w.restored.announceAt
+		}
 		return
 	}
 	w.announceAt = now.Add(w.announceRetry)
