--- a/forwarder/identify.go
+++ b/forwarder/identify.go
@@ -28,7 +28,7 @@
 	}
 	o, known := routes.OrganisationOfKey(r.message.APIKey)
 	code := almondstep.CodeUnauthorized
-	if !known && !v.DirectoryFresh(now) || known && !v.KeysValid(now) {
+	if !v.KeysValid(now) || !known && !v.DirectoryFresh(now) {
 		code = almondstep.CodeNoConfiguration
 	}
 	if !known || code == almondstep.CodeNoConfiguration {
--- a/forwarder/identify_test.go
+++ b/forwarder/identify_test.go
@@ -96,18 +96,20 @@
 func TestKeyIsNotRejectedFromStaleRoutes(t *testing.T) {
 	o := organisation(t, almondstep.OrganisationSpec{Name: "mills", Keys: []string{"good"}})
 	for _, c := range []struct {
-		key        string
-		validUntil almondstep.Instant
-		want       almondstep.RefusalCode
+		key                    string
+		freshUntil, validUntil almondstep.Instant
+		want                   almondstep.RefusalCode
 	}{
-		{key: "new", want: almondstep.CodeNoConfiguration},
-		{key: "good"},
-		{key: "good", validUntil: 1, want: almondstep.CodeNoConfiguration},
+		{key: "new", freshUntil: 1, want: almondstep.CodeNoConfiguration},
+		{key: "good", freshUntil: 1},
+		{key: "good", freshUntil: 1, validUntil: 1, want: almondstep.CodeNoConfiguration},
+		// Guards against a 401 for a key that a newer version may hold.
+		{key: "new", validUntil: 1, want: almondstep.CodeNoConfiguration},
 	} {
 		w := newHarness(t, testConfig(), nil)
 		w.view = almondstep.NewView(almondstep.ViewSpec{
 			Directory:           identifiedDirectory(t, almondstep.RouteSpec{}, o),
-			DirectoryFreshUntil: 1, KeysValidUntil: c.validUntil,
+			DirectoryFreshUntil: c.freshUntil, KeysValidUntil: c.validUntil,
 		})
 		w.arriveWithKey(1, c.key)
 		code := almondstep.RefusalCode("")
