Send digests of API keys between daemons instead of the keys

Cause: registry updates between daemons carried op/config as it stands in the store, with all API keys, and each daemon kept up to five versions of it.

--- a/organisation.go
+++ b/organisation.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,8 @@
 	Name OrganisationName
 	// Keys are the API keys of the organisation's callers. They are secret.
 	Keys []string
+	// KeyDigests are the texts of the digests of further keys, see KeyDigestText.
+	KeyDigests []string
 	// Priority replaces that of a route; nil keeps the route's.
 	Priority *int
 	// Rate and Burst limit the requests of the organisation at all daemons together: Rate
@@ -42,6 +45,25 @@
 
 func digestOf(apiKey string) keyDigest { return sha256.Sum256([]byte(apiKey)) }
 
+// KeyDigestText returns the digest of an API key as a text, which identifies the key without
+// revealing it; empty for an empty key, which is invalid.
+func KeyDigestText(apiKey string) string {
+	if apiKey == "" {
+		return ""
+	}
+	d := digestOf(apiKey)
+	return hex.EncodeToString(d[:])
+}
+
+// parseDigest parses the text of a digest, and reports whether it is one.
+func parseDigest(text string) (d keyDigest, ok bool) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(d) {
+		return d, false
+	}
+	return keyDigest(b), true
+}
+
 // NewOrganisation validates the spec and returns its organisation, or ErrInvalid. The error
 // names no key.
 func NewOrganisation(spec OrganisationSpec) (*Organisation, error) {
@@ -68,6 +90,13 @@
 	for _, k := range spec.Keys {
 		o.digests = append(o.digests, digestOf(k))
 	}
+	for _, text := range spec.KeyDigests {
+		d, ok := parseDigest(text)
+		if !ok {
+			return fail("a key or its digest is invalid")
+		}
+		o.digests = append(o.digests, d)
+	}
 	return o, nil
 }
 
