Reject names of organisations that don't fit a header field

Cause: calls to upstreams are encoded without a check, so that a name with a line break added fields to them.

--- a/organisation.go
+++ b/organisation.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -73,6 +74,8 @@
 	switch {
 	case spec.Name == "":
 		return fail("the name is missing")
+	case !fitsHeader(string(spec.Name)):
+		return fail("the name has control characters, or spaces around it")
 	case spec.Rate < 0:
 		return fail("the rate is negative")
 	case spec.Burst < 0:
@@ -100,6 +103,12 @@
 	return o, nil
 }
 
+// fitsHeader reports whether a text can be the value of a header field as it is.
+func fitsHeader(text string) bool {
+	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
+	return !strings.ContainsFunc(text, isControl) && strings.TrimSpace(text) == text
+}
+
 // Name is the organisation's name, which upstreams receive.
 func (o *Organisation) Name() OrganisationName { return o.name }
 
