Drop what other daemons keep after a restore; send all entries to daemons behind a start

Cause: random histories of a fleet with restores showed two faults. An update that another daemon sent twice after a restore brought lost entries back without an end. And, also without a restore, a daemon that has started since doesn't know what was removed before its first read, so that a daemon behind it kept removed upstreams for good.

Change: entries of an earlier era count only in the first update of the new one; removals that another daemon names always apply.

--- a/watcher/accepting.go
+++ b/watcher/accepting.go
@@ -80,9 +80,15 @@
 		out = w.beginRestored(now, e, out)
 		w.confirmListed(e.Changes)
 	}
+	isFirst := w.beginFirst(now, e)
+	if e.Full && !isRestored && !isFirst {
+		current := *e
+		current.Changes = ofCurrentEra(e.Changes)
+		e = &current
+	}
 	changed, out := w.apply(now, e, out)
 	w.journal.record(e.Changes.Entries, e.Full, e.Changes.Revision, w.restored)
-	if isRestored {
+	if isRestored || isFirst {
 		out = w.settleUnlisted(now, e.Changes, out)
 	}
 	if e.From == "" {
--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -179,7 +179,9 @@
 // write writes or removes an entry of the registry and ends the pending watches.
 func (f *fleet) write(key string, removed bool) {
 	f.revision++
-	e := almondstep.RegistryEntry{Key: key, Revision: f.revision, Removed: removed}
+	// Values differ, as those of servers do: an equal one at the revision of one that was lost in
+	// a restore is taken for it.
+	e := almondstep.RegistryEntry{Key: key, Revision: f.revision, Removed: removed, Value: fmt.Sprint(f.now, f.revision)}
 	f.entries[key] = e
 	if removed {
 		delete(f.entries, key)
--- a/watcher/journal.go
+++ b/watcher/journal.go
@@ -50,7 +50,10 @@
 // If the registry was restored, r says which of them come from the copy.
 func (j *journal) record(entries []almondstep.RegistryEntry, full bool, revision uint64, r restored) {
 	j.era = max(j.era, almondstep.EraOf(revision))
-	if full && r.copied != 0 {
+	if full && len(j.entries) == 0 {
+		j.from = revision // What was removed before isn't known.
+	}
+	if full && j.era > 0 {
 		j.recordRestored(entries, r, revision)
 		return
 	}
--- a/watcher/journal_restore.go
+++ b/watcher/journal_restore.go
@@ -17,7 +17,7 @@
 // recordListed adds an entry that a full read lists.
 func (j *journal) recordListed(e almondstep.RegistryEntry, r restored) {
 	held, known := j.entries[e.Key]
-	if !r.fromCopy(e.Revision) || !known {
+	if !r.fromCopy(e.Revision) || !known || e.Removed {
 		j.put(e)
 		return
 	}
--- a/watcher/journal_test.go
+++ b/watcher/journal_test.go
@@ -98,3 +98,16 @@
 		}
 	}
 }
+
+// Guards against removed entries that a daemon behind keeps forever: a daemon that has started
+// since doesn't know what was removed before its first read, so it sends all entries.
+func TestUpdateFromDaemonThatStartedLater(t *testing.T) {
+	w := watcher.New(watcher.Config{Self: "d1", Zone: "z"})
+	changes := changesOf(t, 10, []almondstep.RegistryEntry{{Key: "u1", Revision: 5}}, 0)
+	w.Reduce(almondstep.Instant(time.Second), &almondstep.RegistryRead{Full: true, Changes: changes}, nil)
+	for after, want := range map[uint64]bool{4: true, 9: true, 10: false} {
+		if got := updateAfter(t, w, after).Full; got != want {
+			t.Errorf("after %d: got all entries %v, want %v", after, got, want)
+		}
+	}
+}
--- a/watcher/restore.go
+++ b/watcher/restore.go
@@ -63,6 +63,16 @@
 	return append(out, r)
 }
 
+// beginFirst reports whether an update is the first one of this daemon, and another daemon may
+// keep entries in it that were lost in a restore: they are kept here for restoreGrace too.
+func (w *Watcher) beginFirst(now almondstep.Instant, e *almondstep.RegistryRead) bool {
+	if w.revision != 0 || !e.Full || almondstep.EraOf(e.Changes.Revision) == 0 {
+		return false
+	}
+	w.restored.graceEnds = now.Add(restoreGrace)
+	return true
+}
+
 // positionAfter returns the revision of the registry cache after an update. After a
 // restore, the registry is watched from the copy's revision, so that removals since then
 // are seen.
@@ -101,14 +111,29 @@
 	if !e.Full || w.restored.copied == 0 || almondstep.EraOf(c.Revision) != almondstep.EraOf(w.restored.copied) {
 		return c
 	}
+	// Removals aren't of the copy: another daemon has seen them.
 	fresh := *c
-	fresh.Upstreams = without(c.Upstreams, func(u almondstep.UpstreamChange) bool { return w.restored.fromCopy(u.Revision) })
-	fresh.DrainedZones = without(c.DrainedZones, func(z almondstep.ZoneChange) bool { return w.restored.fromCopy(z.Revision) })
-	fresh.Daemons = without(c.Daemons, func(d almondstep.DaemonChange) bool { return w.restored.fromCopy(d.Revision) })
-	fresh.Crashes = without(c.Crashes, func(r almondstep.CrashChange) bool { return w.restored.fromCopy(r.Revision) })
+	removed := removedKeys(c)
+	fresh.Upstreams = without(c.Upstreams, func(u almondstep.UpstreamChange) bool { return w.restored.fromCopy(u.Revision) && !removed[u.Key] })
+	fresh.DrainedZones = without(c.DrainedZones, func(z almondstep.ZoneChange) bool { return w.restored.fromCopy(z.Revision) && z.Drained })
+	fresh.Daemons = without(c.Daemons, func(d almondstep.DaemonChange) bool { return w.restored.fromCopy(d.Revision) && d.Alive })
+	fresh.Crashes = without(c.Crashes, func(r almondstep.CrashChange) bool { return w.restored.fromCopy(r.Revision) && !r.Removed })
 	return &fresh
 }
 
+// ofCurrentEra returns changes without the entries of earlier eras, which another daemon keeps
+// for a while. This daemon has decided on them with its first update of the era.
+func ofCurrentEra(c *almondstep.RegistryChanges) *almondstep.RegistryChanges {
+	isEarlier := func(revision uint64) bool { return almondstep.EraOf(revision) < almondstep.EraOf(c.Revision) }
+	current := *c
+	current.Entries = without(c.Entries, func(e almondstep.RegistryEntry) bool { return isEarlier(e.Revision) })
+	current.Upstreams = without(c.Upstreams, func(u almondstep.UpstreamChange) bool { return isEarlier(u.Revision) })
+	current.DrainedZones = without(c.DrainedZones, func(z almondstep.ZoneChange) bool { return isEarlier(z.Revision) })
+	current.Daemons = without(c.Daemons, func(d almondstep.DaemonChange) bool { return isEarlier(d.Revision) })
+	current.Crashes = without(c.Crashes, func(r almondstep.CrashChange) bool { return isEarlier(r.Revision) })
+	return &current
+}
+
 // without returns a new list without the elements for which drop holds.
 func without[T any](list []T, drop func(T) bool) []T {
 	var kept []T
--- a/watcher/restore_fleet_test.go
+++ b/watcher/restore_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -73,3 +74,27 @@
 		t.Errorf("after the grace: got %d upstreams and %d full reads, want u0 alone and 3", len(got), f.fullReads)
 	}
 }
+
+// Guards against daemons that stay in an earlier era, go back to it, or keep what was lost, when
+// the registry is restored amid outages, network partitions and restarts.
+func TestRestoreOverRandomTreeHistories(t *testing.T) {
+	for seed := range histories(t, 50) {
+		f := playHistory(t, seed, func(f *fleet, rng *rand.Rand) {
+			if rng.IntN(4) == 0 {
+				lost := min(rng.Uint64N(30), almondstep.RevisionInEra(f.revision)-1)
+				f.restore(f.revision - lost)
+			}
+		})
+		f.run(12 * time.Second)
+		for _, id := range f.ids {
+			for _, key := range f.upstreams(id) {
+				if _, listed := f.entries[key]; !listed {
+					t.Errorf("seed %d: %s: got %s after the grace, which the registry doesn't list", seed, id, key)
+				}
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/watcher/restore_settle.go
+++ b/watcher/restore_settle.go
@@ -12,25 +12,37 @@
 // revisions that they have in the new era. A revision of an earlier era then marks an
 // entry that the registry doesn't list.
 func (w *Watcher) confirmListed(c *almondstep.RegistryChanges) {
+	removed := removedKeys(c)
 	for _, u := range c.Upstreams {
-		if held := w.listing.entries[u.Key]; held != nil && w.restored.fromCopy(u.Revision) {
+		if held := w.listing.entries[u.Key]; held != nil && w.restored.fromCopy(u.Revision) && !removed[u.Key] {
 			held.revision = max(held.revision, u.Revision)
 		}
 	}
 	for _, z := range c.DrainedZones {
-		if held, known := w.drainedZones[z.Zone]; known && w.restored.fromCopy(z.Revision) {
+		if held, known := w.drainedZones[z.Zone]; known && z.Drained && w.restored.fromCopy(z.Revision) {
 			held.revision = max(held.revision, z.Revision)
 			w.drainedZones[z.Zone] = held
 		}
 	}
 	for _, r := range c.Crashes {
-		if held, known := w.crashes.records[r.CrashRecord]; known && w.restored.fromCopy(r.Revision) {
+		if held, known := w.crashes.records[r.CrashRecord]; known && !r.Removed && w.restored.fromCopy(r.Revision) {
 			held.revision = max(held.revision, r.Revision)
 			w.crashes.records[r.CrashRecord] = held
 		}
 	}
 }
 
+// removedKeys returns the keys that another daemon's update names as removed.
+func removedKeys(c *almondstep.RegistryChanges) map[string]bool {
+	removed := make(map[string]bool)
+	for _, e := range c.Entries {
+		if e.Removed {
+			removed[e.Key] = true
+		}
+	}
+	return removed
+}
+
 // wasRemoved reports whether an entry that a read after the restore doesn't list has been
 // removed since, rather than lost: the copy has its last change.
 func (r restored) wasRemoved(revision uint64) bool {
--- a/watcher/tree_test.go
+++ b/watcher/tree_test.go
@@ -163,7 +163,7 @@
 // none goes back to an older revision, and the registry isn't overloaded.
 func TestTreeOverRandomHistories(t *testing.T) {
 	for seed := range histories(t, 300) {
-		playHistory(t, seed)
+		playHistory(t, seed, nil)
 		if t.Failed() {
 			return
 		}
@@ -175,7 +175,9 @@
 	maxStep      = 2500 * time.Millisecond
 )
 
-func playHistory(t *testing.T, seed uint64) {
+// playHistory plays a random history. restore, if there is one, may restore the registry
+// before each step.
+func playHistory(t *testing.T, seed uint64, restore func(f *fleet, rng *rand.Rand)) *fleet {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 7))
 	f := newTree(t, 1+rng.IntN(4), rng.IntN(3), 1+rng.IntN(4))
@@ -183,6 +185,9 @@
 	c := &checker{f: f, seed: seed, last: map[almondstep.DaemonID]cacheState{}, firstSeenAt: map[int]time.Duration{}}
 	started := f.calls
 	for step := range historySteps {
+		if restore != nil {
+			restore(f, rng)
+		}
 		f.injectFault(rng, step)
 		c.watch(time.Duration(rng.Int64N(int64(maxStep))))
 	}
@@ -196,6 +201,7 @@
 	if got, limit := f.calls-started, int(f.now.Seconds())*2*len(f.ids); got > limit {
 		t.Errorf("seed %d: got %d calls, want at most %d", seed, got, limit)
 	}
+	return f
 }
 
 // injectFault makes one random change to the registry, the network or a daemon.
--- a/watcher/versions.go
+++ b/watcher/versions.go
@@ -62,16 +62,13 @@
 	limit := uint64(math.MaxUint64)
 	var equal []uint64
 	for _, e := range listed {
-		if almondstep.EraOf(e.Revision) != era {
-			continue // Another daemon keeps this entry: the registry doesn't list it.
-		}
-		held, known := j.entries[e.Key]
-		if e.Removed && (!known || held.Removed) {
-			continue
+		if almondstep.EraOf(e.Revision) != era || e.Removed {
+			continue // It is another daemon's: the registry doesn't list it.
 		}
+		held := j.entries[e.Key]
 		heldAt, listedAt := almondstep.RevisionInEra(held.Revision), almondstep.RevisionInEra(e.Revision)
 		switch {
-		case heldAt == listedAt && held.Removed == e.Removed && held.Value == e.Value:
+		case heldAt == listedAt && !held.Removed && held.Value == e.Value:
 			equal = append(equal, listedAt)
 		case j.superseded.known[versionOf(e)]:
 			equal = append(equal, listedAt)
