--- a/organisation.go
+++ b/organisation.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,6 +17,8 @@
 	Name OrganisationName
 	// Keys are the API keys of the organisation's callers. They are secret.
 	Keys []string
+	// KeyDigests are the texts of the digests of further keys, see KeyDigestText.
+	KeyDigests []string
 	// Priority replaces that of a route; nil keeps the route's.
 	Priority *int
 	// Rate and Burst limit the requests of the organisation at all daemons together: Rate
@@ -42,6 +46,25 @@
 
 func digestOf(apiKey string) keyDigest { return sha256.Sum256([]byte(apiKey)) }
 
+// KeyDigestText returns the digest of an API key as a text, which identifies the key without
+// revealing it; empty for an empty key, which is invalid.
+func KeyDigestText(apiKey string) string {
+	if apiKey == "" {
+		return ""
+	}
+	d := digestOf(apiKey)
+	return hex.EncodeToString(d[:])
+}
+
+// parseDigest parses the text of a digest, and reports whether it is one.
+func parseDigest(text string) (d keyDigest, ok bool) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(d) {
+		return d, false
+	}
+	return keyDigest(b), true
+}
+
 // NewOrganisation validates the spec and returns its organisation, or ErrInvalid. The error
 // names no key.
 func NewOrganisation(spec OrganisationSpec) (*Organisation, error) {
@@ -51,6 +74,8 @@
 	switch {
 	case spec.Name == "":
 		return fail("the name is missing")
+	case !fitsHeader(string(spec.Name)):
+		return fail("the name has control characters, or spaces around it")
 	case spec.Rate < 0:
 		return fail("the rate is negative")
 	case spec.Burst < 0:
@@ -68,9 +93,22 @@
 	for _, k := range spec.Keys {
 		o.digests = append(o.digests, digestOf(k))
 	}
+	for _, text := range spec.KeyDigests {
+		d, ok := parseDigest(text)
+		if !ok {
+			return fail("a key or its digest is invalid")
+		}
+		o.digests = append(o.digests, d)
+	}
 	return o, nil
 }
 
+// fitsHeader reports whether a text can be the value of a header field as it is.
+func fitsHeader(text string) bool {
+	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
+	return !strings.ContainsFunc(text, isControl) && strings.TrimSpace(text) == text
+}
+
 // Name is the organisation's name, which upstreams receive.
 func (o *Organisation) Name() OrganisationName { return o.name }
 
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -54,6 +54,7 @@
 	ownedUpstreams       = "almondstep_owned_upstreams"
 	grantedUpstreams     = "almondstep_granted_upstreams"
 	organisationRequests = "almondstep_organisation_requests_total"
+	registryEra          = "almondstep_registry_era"
 )
 
 // Metrics lists every metric a daemon has, in the order of the documentation.
@@ -193,6 +194,11 @@
 			"Revision of the configuration in force here; 0 if none.",
 			"Behind the other daemons for more than 3 s: look at whether this daemon reaches any other.",
 		},
+		{
+			registryEra, Gauge, "restores", "",
+			"How often the platform's store was restored from a copy, as of this daemon's registry cache.",
+			"Lower than at the other daemons for more than 6 s: look at whether this daemon reaches any other. A rise: check that operators wrote again what they had changed.",
+		},
 		{
 			ready, Gauge, "0 or 1", "",
 			"Whether callers should be sent here.",
