Roll out versions: split, judgement, leader and store writes

Change: package promoter, the split by version in the forwarder, the entries in platform and watcher, reports between daemons, conditional transactions.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 generate:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	go install github.com/twitchtv/twirp/protoc-gen-twirp
-	protoc -I messenger/peerpb --go_out=paths=source_relative:messenger/peerpb --twirp_out=paths=source_relative:messenger/peerpb messenger/peerpb/peer.proto
+	protoc -I messenger/peerpb --go_out=paths=source_relative:messenger/peerpb --twirp_out=paths=source_relative:messenger/peerpb messenger/peerpb/peer.proto messenger/peerpb/rollout.proto
 
 # golden writes the golden files anew; review the difference before committing.
 golden:
--- a/directory.go
+++ b/directory.go
@@ -35,6 +35,8 @@
 	// ColdFor is the time that the upstream stays cold, counted from when its registry
 	// entry was read; 0 if it is warm.
 	ColdFor time.Duration
+	// Version is the version of its program; empty if unknown.
+	Version UpstreamVersion
 }
 
 // Run returns the identity of this run of the upstream.
@@ -68,6 +70,8 @@
 	gatherers         int
 	delegates         []Delegate
 	regionalDelegates map[RegionName][]Delegate
+	rollouts          map[ServiceName]*Rollout
+	rolloutLeader     RolloutLeader
 }
 
 // DirectorySpec is the input of NewDirectory.
@@ -90,6 +94,10 @@
 	// RegionalDelegates are, for each other region, the daemons that query its
 	// upstreams on behalf of this daemon.
 	RegionalDelegates map[RegionName][]Delegate
+	// Rollouts are the rollouts in the registry, by service, and RolloutLeader is the daemon
+	// that decides on them.
+	Rollouts      map[ServiceName]*Rollout
+	RolloutLeader RolloutLeader
 }
 
 // NewDirectory creates a directory. The caller must not change what the spec refers
@@ -103,6 +111,8 @@
 		gatherers:         spec.Gatherers,
 		delegates:         spec.Delegates,
 		regionalDelegates: spec.RegionalDelegates,
+		rollouts:          spec.Rollouts,
+		rolloutLeader:     spec.RolloutLeader,
 	}
 	if d.gatherers <= 0 || d.gatherers > d.daemons {
 		d.gatherers = d.daemons
@@ -144,3 +154,9 @@
 // RegionalDelegatesByRegion maps each other region to its regional delegates. The
 // caller must not change it.
 func (d *Directory) RegionalDelegatesByRegion() map[RegionName][]Delegate { return d.regionalDelegates }
+
+// Rollouts maps services to their rollouts. The caller must not change it.
+func (d *Directory) Rollouts() map[ServiceName]*Rollout { return d.rollouts }
+
+// RolloutLeader is the daemon that decides on rollouts.
+func (d *Directory) RolloutLeader() RolloutLeader { return d.rolloutLeader }
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -100,6 +100,7 @@
 func (f *Forwarder) sendFirst(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) {
 	s := &r.shards[i]
 	f.budget.CountRequest(now, s.service)
+	f.rollouts.countRequest(s.service)
 	if !f.send(now, r, i, budgeter.First, out) {
 		s.limitWait = f.limitWait(now, r, s)
 		r.markMissing(i, almondstep.CallRefused)
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -49,6 +49,7 @@
 	if e.Response != nil && e.Result != almondstep.CallMisdirected {
 		f.silent.answered(now, c.upstream)
 	}
+	out = f.rollouts.ended(r, c, e, f.picker.Cold(now, c.upstream), out)
 	if e.Leaving {
 		out = f.markLeaving(now, r, []almondstep.UpstreamRun{c.upstream.Run()}, out)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,10 @@
 	// RenewInterval is that at which upstreams renew their entries in the registry; an entry
 	// that isn't renewed for three intervals is removed. 0 means that it isn't known.
 	RenewInterval time.Duration
+	// ExposeShare and ExposeSlack limit the calls to a version in rollout, over all daemons: that
+	// share of the service's requests, and so many more.
+	ExposeShare float64
+	ExposeSlack float64
 }
 
 // Forwarder is the reducer partition for the routed requests of one traffic thread.
@@ -47,6 +51,7 @@
 	leaving   leavingRuns
 	silent    silentUpstreams
 	answered  recentAnswers
+	rollouts  rolloutSplits
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -80,6 +85,7 @@
 		rates:     budgeter.RateLimiter{Seed: cfg.Seed},
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		region:    cfg.Region,
+		rollouts:  rolloutSplits{share: cfg.ExposeShare, slack: cfg.ExposeSlack, seed: cfg.Seed},
 
 		silent:      silentUpstreams{renewInterval: cfg.RenewInterval},
 		crashLimit:  cfg.CrashLimit,
@@ -111,6 +117,7 @@
 			f.rates.Retain(d)
 			f.leaving.retain(now, d)
 			out = f.reportSilentCrashes(now, out)
+			out = f.rollouts.update(d, out)
 		}
 		return f.capDeadlines(now, out)
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -39,6 +39,7 @@
 	r.openCalls++
 	r.trace.Calls++
 	f.picker.Sent(now, u, id)
+	f.rollouts.sent(u)
 	*out = append(*out, &almondstep.SendCall{
 		ID:              r.id,
 		Call:            id,
@@ -72,12 +73,24 @@
 	return r.route.Records()
 }
 
-// choose picks the upstream for a shard's next call. A cold upstream, and one that states
-// a limit, is used only within this daemon's share of its rate of calls.
+// choose picks the upstream for a shard's next call: one of the version in rollout, if the call
+// belongs to that version's share and one can be called.
 func (f *Forwarder) choose(now almondstep.Instant, r *request, s *shard, kind budgeter.CallKind) (*almondstep.Upstream, bool) {
+	if f.rollouts.prefersNew(r, s.service, kind) {
+		isNew := func(u *almondstep.Upstream) bool { return f.rollouts.isNew(u) }
+		if u, ok := f.chooseAmong(now, r, s, kind, isNew); ok {
+			return u, true
+		}
+	}
+	return f.chooseAmong(now, r, s, kind, func(*almondstep.Upstream) bool { return true })
+}
+
+// chooseAmong picks the best of the upstreams that pass a filter. A cold upstream, and one that
+// states a limit, is used only within this daemon's share of its rate of calls.
+func (f *Forwarder) chooseAmong(now almondstep.Instant, r *request, s *shard, kind budgeter.CallKind, passes func(*almondstep.Upstream) bool) (*almondstep.Upstream, bool) {
 	var overRate []*almondstep.Upstream
 	usable := func(u *almondstep.Upstream) bool {
-		return !slices.Contains(overRate, u) && f.mayCall(now, r, s, u, kind)
+		return passes(u) && !slices.Contains(overRate, u) && f.mayCall(now, r, s, u, kind)
 	}
 	service, _ := r.directory.Routes().Service(s.service)
 	divisor := r.budgetDivisor(s.service)
@@ -98,7 +111,7 @@
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
 // calls that need it.
 func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
-	if !r.route.Allows(u.Region) || s.tried(u) || f.leaving.has(u) {
+	if !r.route.Allows(u.Region) || s.tried(u) || f.leaving.has(u) || !f.rollouts.mayCall(r, u, kind) {
 		return false
 	}
 	if !f.rates.Limited(now, u) {
--- a/message_registry.go
+++ b/message_registry.go
@@ -12,6 +12,7 @@
 	DrainedZones []ZoneChange     `json:"zonesOut,omitempty"`
 	Daemons      []DaemonChange   `json:"daemons,omitempty"`
 	Crashes      []CrashChange    `json:"crashes,omitempty"`
+	Rollouts     []RolloutChange  `json:"rollouts,omitempty"`
 	// Entries are the same changes in the registry's own form, for forwarding to
 	// other daemons.
 	Entries []RegistryEntry `json:"entries,omitempty"`
@@ -64,7 +65,7 @@
 
 // Empty reports whether nothing has changed.
 func (c *RegistryChanges) Empty() bool {
-	return c.Routes == nil && len(c.Upstreams)+len(c.DrainedZones)+len(c.Daemons)+len(c.Crashes) == 0
+	return c.Routes == nil && len(c.Upstreams)+len(c.DrainedZones)+len(c.Daemons)+len(c.Crashes)+len(c.Rollouts) == 0
 }
 
 // UpstreamChange is a change of an upstream's entry. Upstream is nil if the entry
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -42,6 +42,7 @@
 	peerpb.Peer
 	peerpb.News
 	peerpb.Delegate
+	peerpb.Rollout
 }
 
 // currentClients returns the clients over the current connection, creating both if there
@@ -57,6 +58,7 @@
 			News: peerpb.NewNewsProtobufClient(p.base(), c),
 
 			Delegate: peerpb.NewDelegateProtobufClient(p.base(), c),
+			Rollout:  peerpb.NewRolloutProtobufClient(p.base(), c),
 		}
 	}
 	return p.client
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -34,11 +34,13 @@
 
 // Server serves the messages of other daemons.
 type Server struct {
-	// Peer serves Works and control messages, RegistryUpdates registry updates and
-	// Gatherer delegated requests; calls to a nil one fail with ErrUnavailable.
+	// Peer serves Works and control messages, RegistryUpdates registry updates, Gatherer
+	// delegated requests and Rollouts reports on rollouts; calls to a nil one fail with
+	// ErrUnavailable.
 	Peer            almondstep.PeerServer
 	RegistryUpdates almondstep.RegistryUpdateServer
 	Gatherer        almondstep.GatherServer
+	Rollouts        almondstep.RolloutServer
 	// TLS is the certificate and the authorities; nil disables TLS.
 	TLS *tls.Config
 	// Budget bounds the memory of the requests that are being served; nil doesn't.
@@ -80,6 +82,9 @@
 	if s.Gatherer != nil {
 		services.Handle(peerpb.DelegatePathPrefix, peerpb.NewDelegateServer(&gatherHandler{gatherer: s.Gatherer}))
 	}
+	if s.Rollouts != nil {
+		services.Handle(peerpb.RolloutPathPrefix, peerpb.NewRolloutServer(&rolloutHandler{rollouts: s.Rollouts, sent: s.Sent}))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -82,6 +82,8 @@
 		r.control.push(f)
 	case *almondstep.RequestSurvived:
 		r.control.push(f)
+	case *almondstep.RolloutDecided:
+		r.control.push(f)
 	default:
 		t.performControl(f)
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -52,6 +52,10 @@
 	// the ID of a request that another daemon delegates to this one.
 	Delegates almondstep.DelegateClient
 	NextQuery func() almondstep.QueryID
+	// RolloutRegistry and RolloutReports write the decisions on rollouts and send the reports to
+	// their leader; nil if there are no rollouts.
+	RolloutRegistry almondstep.RolloutRegistry
+	RolloutReports  almondstep.RolloutClient
 
 	start    time.Time
 	view     atomic.Pointer[almondstep.View]
@@ -75,7 +79,8 @@
 	_ almondstep.PeerServer           = (*Runner)(nil)
 	_ almondstep.RegistryUpdateServer = (*Runner)(nil)
 
-	_ almondstep.GatherServer = (*Runner)(nil)
+	_ almondstep.GatherServer  = (*Runner)(nil)
+	_ almondstep.RolloutServer = (*Runner)(nil)
 )
 
 // Init creates the threads; call it once, before Run and before anything is
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -30,7 +30,8 @@
 		changed = w.applyDaemon(now, d) || changed
 	}
 	crashes, out := w.applyCrashes(now, e, out)
-	changed = crashes || changed
+	rollouts, out := w.applyRollouts(now, e, out)
+	changed = crashes || rollouts || changed
 	return changed || w.publishedDaemons != w.daemonCount(), out
 }
 
@@ -240,6 +241,8 @@
 		Gatherers:         gatherers,
 		Delegates:         w.delegates(gatherers),
 		RegionalDelegates: w.regionalDelegates(gatherers),
+		Rollouts:          w.rollouts.publish(),
+		RolloutLeader:     w.rollouts.leader,
 	})
 	return w.publishAge(out)
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -91,6 +91,7 @@
 	publishedDaemons     int
 	crashes              crashLog
 	ended                endedRuns
+	rollouts             rolloutEntries
 	// orders lists the daemons of each zone in the order that determines their place in
 	// the tree; nil if it must be rebuilt.
 	orders map[almondstep.ZoneName][]almondstep.DaemonID
@@ -132,6 +133,7 @@
 		journal:       newJournal(),
 		crashes:       newCrashLog(),
 		ended:         newEndedRuns(),
+		rollouts:      newRolloutEntries(),
 	}
 }
 
@@ -152,6 +154,10 @@
 		return w.requestSurvived(now, e, out)
 	case *almondstep.CrashesRecorded:
 		return w.crashesRecorded(now, e, out)
+	case *almondstep.RolloutDecided:
+		if w.rollouts.decided(now, e) {
+			return w.publish(out)
+		}
 	case *almondstep.StopRequested:
 		w.stopping, w.answerBy = true, e.AnswerBy
 		return w.publish(out)
