--- a/promoter/judge.go
+++ b/promoter/judge.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// significance is the probability below which an excess isn't taken for chance. A rollout is
-	// judged up to ten times a second for each route, so it is far below the usual values.
-	significance = 1e-6
+	// An excess isn't taken for chance if its probability is below significance, divided by the
+	// number of answers or by minAnswers: a rollout is judged again with each answer, so that the
+	// chances of an error add up.
+	significance = 1e-3
+	minAnswers   = 10
 	// minBad and minSlow are the fewest failures and slow answers that can be significant.
 	minBad  = 3
 	minSlow = 5
@@ -79,7 +81,7 @@
 // are significantly worse; otherwise an empty text.
 func judge(fresh, old *counts) string {
 	allowed := max(minBadShare, share(old.bad, old.answers))
-	if fresh.bad >= minBad && binomialTail(fresh.bad, fresh.answers, allowed) < significance {
+	if fresh.bad >= minBad && significant(fresh.bad, fresh.answers, allowed) {
 		return fmt.Sprintf("%d of %d answers failed, of the old version's %d of %d", fresh.bad, fresh.answers, old.bad, old.answers)
 	}
 	if old.timed() < priorAnswers {
@@ -88,13 +90,18 @@
 	limit := old.median() + slowBuckets
 	slow, oldSlow := fresh.slower(limit), old.slower(limit)
 	allowed = min(1, max(minSlowShare, slowFactor*share(oldSlow, old.timed())))
-	if slow >= minSlow && binomialTail(slow, fresh.timed(), allowed) < significance {
+	if slow >= minSlow && significant(slow, fresh.timed(), allowed) {
 		return fmt.Sprintf("%d of %d answers took longer than %v, of the old version's %d of %d",
 			slow, fresh.timed(), almondstep.LatencyBound(limit), oldSlow, old.timed())
 	}
 	return ""
 }
 
+// significant reports whether k of n answers are more than the given share explains.
+func significant(k, n uint64, allowed float64) bool {
+	return binomialTail(k, n, allowed) < significance/float64(max(n, minAnswers))
+}
+
 // share estimates a share from above: the fewer the answers, the higher.
 func share(n, of uint64) float64 { return float64(n+1) / float64(of+priorAnswers) }
 
--- a/promoter/lead.go
+++ b/promoter/lead.go
@@ -11,7 +11,7 @@
 const (
 	// writeRetry is the delay before a write that failed is tried again.
 	writeRetry = 300 * time.Millisecond
-	// lastDelay is how long after its plan a rollout is completed at the latest, although a
+	// lastDelay is how long after the time in its plan a rollout is completed at the latest, although a
 	// daemon still reports open calls to old upstreams or its doubts.
 	lastDelay = 2 * time.Second
 	// maxAvoided bounds the versions of earlier rollouts that are kept.
@@ -149,14 +149,17 @@
 	switch l.best.Stage {
 	case almondstep.StageCanary:
 		d.Stage, d.Share = almondstep.StageRamp, rampShare
-		return age >= plan.RampAt && p.listed(r)
+		requests, exposed := l.evidence.exposure()
+		third := plan.ThirdStage(age, requests, exposed, p.cfg.Share, p.cfg.Slack)
+		return age >= plan.DoneAt-third-rampTime && p.listed(r)
 	case almondstep.StageRamp:
 		d.Stage, d.Share = almondstep.StageAll, 1
-		return age >= plan.AllAt && inStage >= min(rampTime, plan.AllAt)/2 && p.listed(r)
+		due := inStage >= rampTime || age >= plan.AllAt && inStage >= min(rampTime, plan.AllAt)/2
+		return due && p.listed(r)
 	case almondstep.StageAll:
 		d.State = almondstep.RolloutCompleted
-		late := inStage >= plan.Settle+lastDelay
-		return p.listed(r) && (late || inStage >= plan.Settle && !l.evidence.oldOpen(now))
+		ready := age >= plan.DoneAt+lastDelay || !l.evidence.oldOpen(now)
+		return p.listed(r) && age >= plan.DoneAt && inStage >= plan.Settle && ready
 	}
 	return false
 }
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -25,6 +25,8 @@
 	// Share is the share of a service's requests that a bad version may get; 0 means
 	// DefaultShare.
 	Share float64
+	// Slack is the number of requests that it may get beyond Share.
+	Slack float64
 	// Rollback is the time within which a bad version must get no more requests; 0 means
 	// DefaultRollback. A leader that hasn't answered for half of it is replaced.
 	Rollback time.Duration
