--- a/forwarder/rollouts.go
+++ b/forwarder/rollouts.go
@@ -152,15 +152,19 @@
 	return !s.allNew() && !s.rollout.Avoids(u.Version)
 }
 
-// sent counts a call to an upstream.
-func (l *rolloutSplits) sent(u *almondstep.Upstream) {
+// sent counts a call to an upstream, and reports whether the call goes to a new version whose
+// rollout isn't completed.
+func (l *rolloutSplits) sent(u *almondstep.Upstream) bool {
 	s, ok := l.services[u.Service]
 	switch {
 	case !ok:
+		return false
 	case l.isNew(u):
 		s.exposure.Take()
+		return !s.completed
 	default:
 		s.oldOpen++
+		return false
 	}
 }
 
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -39,7 +39,9 @@
 	r.openCalls++
 	r.trace.Calls++
 	f.picker.Sent(now, u, id)
-	f.rollouts.sent(u)
+	if f.rollouts.sent(u) {
+		r.trace.Exposed++
+	}
 	*out = append(*out, &almondstep.SendCall{
 		ID:              r.id,
 		Call:            id,
--- a/message_request.go
+++ b/message_request.go
@@ -235,6 +235,8 @@
 	Retries int `json:"retries"`
 	// Denied counts additional calls that the retry budget didn't allow.
 	Denied int `json:"denied"`
+	// Exposed counts the calls to versions whose rollout isn't completed.
+	Exposed int `json:"exposed,omitempty"`
 	// Limited counts the shards that weren't called because of the limits that their
 	// upstreams state.
 	Limited int `json:"limited,omitempty"`
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -441,3 +441,35 @@
 		t.Errorf("got %v sent, want at most %v", got, most)
 	}
 }
+
+// rolloutServer is a RolloutServer that records the report.
+type rolloutServer struct{ report *almondstep.RolloutReport }
+
+func (s *rolloutServer) ReportRollout(_ context.Context, r *almondstep.RolloutReport) (*almondstep.RolloutReply, error) {
+	s.report = r
+	return filled[almondstep.RolloutReply](), nil
+}
+
+// Guards against a field of a rollout's report or of the leader's reply that isn't sent.
+func TestRolloutReportRoundTrip(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rolloutServer{}
+	s := &messenger.Server{Rollouts: r}
+	s.Init()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	sent := filled[almondstep.RolloutReport]()
+	got, err := (&messenger.Client{}).ReportRollout(t.Context(), almondstep.Address(l.Addr().String()), sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := filled[almondstep.RolloutReply](); !reflect.DeepEqual(got, want) {
+		t.Errorf("got reply %+v, want %+v", got, want)
+	}
+	if got, want := r.report, sent; !reflect.DeepEqual(got, want) {
+		t.Errorf("got report %+v, want %+v", got, want)
+	}
+}
--- a/recorder/gauges.go
+++ b/recorder/gauges.go
@@ -14,6 +14,9 @@
 			return countOwned(v, func(o almondstep.OwnedUpstream) bool { return o.Temperature() == t })
 		})
 	}
+	for _, state := range rolloutStates {
+		r.gauge(labeled(rollouts, "state", state), func(v *almondstep.View) float64 { return countRollouts(v, state) })
+	}
 	for grant, name := range grantNames {
 		r.gauge(labeled(grantedUpstreams, "grant", name), func(v *almondstep.View) float64 {
 			return countOwned(v, func(o almondstep.OwnedUpstream) bool { return int(o.Grant()) == grant })
@@ -56,3 +59,32 @@
 	}
 	return float64(n)
 }
+
+// rolloutStates has the label values of rollouts.
+var rolloutStates = []string{"waiting", "canary", "ramp", "all", "completed", "rolledBack"}
+
+func rolloutState(r *almondstep.Rollout) string {
+	d := r.Current()
+	switch {
+	case d == nil:
+		return "waiting"
+	case d.State == almondstep.RolloutCompleted:
+		return "completed"
+	case d.State == almondstep.RolloutRolledBack:
+		return "rolledBack"
+	}
+	return d.Stage.String()
+}
+
+func countRollouts(v *almondstep.View, state string) float64 {
+	if v.Directory() == nil {
+		return 0
+	}
+	n := 0
+	for _, r := range v.Directory().Rollouts() {
+		if r.Order != nil && rolloutState(r) == state {
+			n++
+		}
+	}
+	return float64(n)
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -51,6 +51,7 @@
 	denied   *metrics.Counter
 	limited  *metrics.Counter
 	broken   *metrics.Counter
+	exposed  *metrics.Counter
 }
 
 // replyKey has the labels of the counter of answers to routed requests.
@@ -188,6 +189,7 @@
 	m.retries.Add(t.Retries)
 	m.denied.Add(t.Denied)
 	m.limited.Add(t.Limited)
+	m.exposed.Add(t.Exposed)
 	m.broken.Add(len(t.Disconnected))
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -81,6 +81,7 @@
 		retries:  r.set.GetOrCreateCounter(labeled(requestExtra, "route", string(route), "use", "retry")),
 		denied:   r.set.GetOrCreateCounter(labeled(requestDenied, label...)),
 		limited:  r.set.GetOrCreateCounter(labeled(requestLimited, label...)),
+		exposed:  r.set.GetOrCreateCounter(labeled(requestExposed, label...)),
 		broken:   r.set.GetOrCreateCounter(labeled(requestBroken, label...)),
 	}
 }
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -44,6 +44,8 @@
 	requestDenied    = "almondstep_request_denied_calls_total"
 	requestLimited   = "almondstep_request_limited_shards_total"
 	requestBroken    = "almondstep_request_disconnects_total"
+	requestExposed   = "almondstep_request_exposed_calls_total"
+	rollouts         = "almondstep_rollouts"
 	linesDropped     = "almondstep_log_lines_dropped_total"
 	revision         = "almondstep_revision"
 	ready            = "almondstep_ready"
@@ -95,6 +97,11 @@
 			"Shards that weren't called because of the limits that their upstreams state.",
 			"Above 0: upstreams state fewer requests than come. The log says which (\"upstream states a limit\").",
 		},
+		{
+			requestExposed, Counter, "calls", "route",
+			"Calls to new versions whose rollout isn't completed.",
+			"Rises during a rollout only. The log says in which stage it is (\"rollout in stage\").",
+		},
 		{
 			requestBroken, Counter, "upstreams", "route",
 			"Upstreams that ended the connection while they had a routed request, at most 8 a request.",
@@ -190,6 +197,11 @@
 			"Other daemons whose address is known here.",
 			"A sudden drop in one zone is a partition or a loss of VMs.",
 		},
+		{
+			rollouts, Gauge, "rollouts", "state",
+			"Rollouts that this daemon knows of, by state: waiting, canary, ramp, all, completed, rolledBack.",
+			"waiting for more than some seconds: no daemon leads, look at the calls to the platform. rolledBack: the log of the leader says why (\"new version is bad\").",
+		},
 		{
 			quarantined, Gauge, "requests", "",
 			"Requests refused because they crashed what ran them.",
