--- a/forwarder/rollouts.go
+++ b/forwarder/rollouts.go
@@ -39,19 +39,21 @@
 	paused bool
 	// rolledBack and completed are the final states of the rollout.
 	rolledBack, completed bool
+	// hasGoodOld is set if upstreams are listed that have neither the new version nor one to avoid.
+	hasGoodOld bool
 }
 
 // update follows the rollouts of a new directory, and reports the counts of those whose stage
 // has changed.
 func (l *rolloutSplits) update(d *almondstep.Directory, out []almondstep.Effect) []almondstep.Effect {
 	for service := range l.services {
-		if r := d.Rollouts()[service]; r == nil || !r.Restricts() {
+		if r := d.Rollouts()[service]; r == nil || !restricts(d, r) {
 			delete(l.services, service)
 		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(d.Rollouts())) {
 		r := d.Rollouts()[service]
-		if !r.Restricts() {
+		if !restricts(d, r) {
 			continue
 		}
 		if l.services == nil {
@@ -63,6 +65,7 @@
 			s.rollout = r
 			l.services[service] = s
 		}
+		s.hasGoodOld = lists(d, service, func(v almondstep.UpstreamVersion) bool { return v != r.Version() && !r.Avoids(v) })
 		if s.follow(r) {
 			out = append(out, s.observation())
 		}
@@ -70,6 +73,18 @@
 	return out
 }
 
+// restricts reports whether the versions of a service's upstreams matter. Those of a rollout whose
+// order was withdrawn do only while there are others.
+func restricts(d *almondstep.Directory, r *almondstep.Rollout) bool {
+	isOld := func(v almondstep.UpstreamVersion) bool { return v != r.Version() }
+	return r.Restricts() && (r.Order != nil || lists(d, r.Service, isOld))
+}
+
+// lists reports whether the directory lists an upstream of a service with such a version.
+func lists(d *almondstep.Directory, service almondstep.ServiceName, is func(almondstep.UpstreamVersion) bool) bool {
+	return slices.ContainsFunc(d.Upstreams(service), func(u *almondstep.Upstream) bool { return is(u.Version) })
+}
+
 // newSplit returns the split of a new rollout; before is that of an earlier one, or nil.
 func (l *rolloutSplits) newSplit(service almondstep.ServiceName, before *rolloutSplit) *rolloutSplit {
 	const fractionBits = 53
@@ -149,7 +164,7 @@
 	if u.Version == s.rollout.Version() {
 		return l.prefersNew(r, u.Service, kind)
 	}
-	return !s.allNew() && !s.rollout.Avoids(u.Version)
+	return !s.allNew() && (!s.hasGoodOld || !s.rollout.Avoids(u.Version))
 }
 
 // sent counts a call to an upstream, and reports whether the call goes to a new version whose
--- a/promoter/fleet_test.go
+++ b/promoter/fleet_test.go
@@ -33,6 +33,8 @@
 	// slack is the setting's; fresh is how the new version answers.
 	slack float64
 	fresh outcome
+	// refuse is set if the new version refuses connections.
+	refuse bool
 	// old is how the old version answers; nil means as good does.
 	old outcome
 	// states lists the states that were written.
@@ -87,8 +89,10 @@
 
 func newFleet(t *testing.T, daemons int, seed uint64, slack float64, fresh outcome) *fleet {
 	t.Helper()
-	f := &fleet{t: t, now: almondstep.Instant(time.Second), random: almondstep.NewRandom(seed), slack: slack, fresh: fresh,
-		entries: map[string]almondstep.RolloutChange{}, revision: 10}
+	f := &fleet{
+		t: t, now: almondstep.Instant(time.Second), random: almondstep.NewRandom(seed), slack: slack, fresh: fresh,
+		entries: map[string]almondstep.RolloutChange{}, revision: 10,
+	}
 	for i := range daemons {
 		d := &daemon{
 			index: i, open: map[almondstep.CallID]bool{}, view: almondstep.NewView(almondstep.ViewSpec{}),
@@ -271,7 +275,9 @@
 		}
 	}
 	e := &almondstep.CallEnded{ID: c.ID, Call: c.Call, Took: took, Response: &almondstep.ResponseMessage{Status: 200, Signature: "s"}}
-	if bad {
+	if f.refuse && c.Upstream.Version == "v2" {
+		e.Result, e.Response = almondstep.CallRefused, nil
+	} else if bad {
 		e.Result, e.Response.Status = almondstep.CallRejected, 500
 	}
 	f.after(took, func() {
@@ -288,76 +294,3 @@
 		f.partition(d, e)
 	}
 }
-
-// put writes an entry and has every daemon that reaches the store learn of it.
-func (f *fleet) put(key string, c almondstep.RolloutChange) {
-	f.revision++
-	c.Revision = f.revision
-	if c.Leader != nil {
-		leader := *c.Leader
-		leader.Revision, c.Leader = f.revision, &leader
-	}
-	f.entries[key] = c
-	for _, d := range f.daemons {
-		f.deliver(d, c)
-	}
-}
-
-func (f *fleet) deliver(d *daemon, c almondstep.RolloutChange) {
-	f.after(f.millis(20, int(update.Milliseconds()/2)), func() {
-		if f.away {
-			f.deliver(d, c)
-			return
-		}
-		changes := &almondstep.RegistryChanges{Revision: c.Revision, Rollouts: []almondstep.RolloutChange{c}}
-		if c.Order != nil {
-			// The upstreams start after the order.
-			changes.Upstreams = upstreams(c.Order.Version, c.Revision)
-		}
-		f.control(d, &almondstep.RegistryRead{Changes: changes})
-	})
-}
-
-// write performs a conditional write.
-func (f *fleet) write(d *daemon, e *almondstep.WriteRollout) *almondstep.RolloutWritten {
-	w := &almondstep.RolloutWritten{WriteRollout: *e}
-	if f.away {
-		w.Err = "away"
-		return w
-	}
-	leader, decision := f.entries["leader"], f.entries["decision"]
-	if leader.Leader == nil {
-		leader.Revision = 0
-	}
-	if leader.Revision != e.LeaderRevision || e.Decision != nil && (decision.Revision != e.DecisionRevision || f.entries["order"].Revision != e.Decision.OrderRevision) {
-		w.Conflict = true
-		w.Present = []almondstep.RolloutChange{leader, decision}
-		return w
-	}
-	if e.Decision == nil {
-		f.claims = append(f.claims, d.index)
-		f.put("leader", almondstep.RolloutChange{Subject: almondstep.RolloutLeaderChanged, Leader: &almondstep.RolloutLeader{Daemon: name(d.index), Addr: "127.0.0.1:1"}})
-	} else {
-		f.states = append(f.states, *e.Decision)
-		f.put("decision", almondstep.RolloutChange{Subject: almondstep.RolloutDecisionMade, Service: service, Decision: e.Decision})
-	}
-	w.Revision = f.revision
-	return w
-}
-
-// order writes an order; an empty version withdraws it.
-func (f *fleet) order(version almondstep.UpstreamVersion, limit time.Duration) {
-	c := almondstep.RolloutChange{Subject: almondstep.RolloutOrdered, Service: service}
-	if version != "" {
-		c.Order = &almondstep.RolloutOrder{Version: version, CompleteBy: limit}
-	}
-	f.put("order", c)
-}
-
-// last returns the last decision that was written; the zero value if none was.
-func (f *fleet) last() almondstep.RolloutDecision {
-	if len(f.states) == 0 {
-		return almondstep.RolloutDecision{}
-	}
-	return f.states[len(f.states)-1]
-}
--- a/promoter/lead.go
+++ b/promoter/lead.go
@@ -35,6 +35,8 @@
 	completing *almondstep.RolloutDecision
 	// unjudged is set if a report has arrived since the last judgement.
 	unjudged bool
+	// hadOld is set once an upstream of another version was listed.
+	hadOld bool
 	// reason is why the version is bad; empty if it isn't known to be.
 	reason string
 }
@@ -146,32 +148,48 @@
 // whether it is due.
 func (p *Promoter) advance(now almondstep.Instant, r *almondstep.Rollout, l *ledRollout, plan Plan, d *almondstep.RolloutDecision) bool {
 	age, inStage := now.Sub(r.StartedAt()), now.Sub(l.stageAt)
+	isNew := func(u *almondstep.Upstream) bool { return u.Version == r.Version() }
+	l.hadOld = l.hadOld || p.lists(r, func(u *almondstep.Upstream) bool { return !isNew(u) })
+	switch {
+	case !p.lists(r, isNew) || l.unreachable():
+		return false
+	case !l.hadOld:
+		// There is nothing to move requests from, nor to go back to.
+		d.State, d.Stage, d.Share = almondstep.RolloutCompleted, almondstep.StageAll, 1
+		return inStage >= p.cfg.Update
+	}
 	switch l.best.Stage {
 	case almondstep.StageCanary:
 		d.Stage, d.Share = almondstep.StageRamp, rampShare
 		requests, exposed := l.evidence.exposure()
 		third := plan.ThirdStage(age, requests, exposed, p.cfg.Share, p.cfg.Slack)
-		return age >= plan.DoneAt-third-rampTime && p.listed(r)
+		return age >= plan.DoneAt-third-rampTime
 	case almondstep.StageRamp:
 		d.Stage, d.Share = almondstep.StageAll, 1
-		due := inStage >= rampTime || age >= plan.AllAt && inStage >= min(rampTime, plan.AllAt)/2
-		return due && p.listed(r)
+		return inStage >= rampTime || age >= plan.AllAt && inStage >= min(rampTime, plan.AllAt)/2
 	case almondstep.StageAll:
 		d.State = almondstep.RolloutCompleted
 		ready := age >= plan.DoneAt+lastDelay || !l.evidence.oldOpen(now)
-		return p.listed(r) && age >= plan.DoneAt && inStage >= plan.Settle && ready
+		return age >= plan.DoneAt && inStage >= plan.Settle && ready
 	}
 	return false
 }
 
-// listed reports whether an upstream of the new version is listed.
-func (p *Promoter) listed(r *almondstep.Rollout) bool {
-	for _, u := range p.view.Directory().Upstreams(r.Service) {
-		if u.Version == r.Version() {
-			return true
-		}
+// lists reports whether such an upstream of the service is listed.
+func (p *Promoter) lists(r *almondstep.Rollout, is func(*almondstep.Upstream) bool) bool {
+	return slices.ContainsFunc(p.view.Directory().Upstreams(r.Service), is)
+}
+
+// unreachable reports whether the new version has answered nothing, although so many requests have
+// come that some of its share must have been sent: its upstreams refuse connections.
+func (l *ledRollout) unreachable() bool {
+	const expected = 10
+	requests, _ := l.evidence.exposure()
+	if float64(requests)*l.best.Share < expected {
+		return false
 	}
-	return false
+	all := l.evidence.sum()[""]
+	return all == nil || all.fresh.answers == 0
 }
 
 // avoided returns the versions that get no requests beside those of the rollout: the targets of
@@ -189,89 +207,6 @@
 	return all[max(0, len(all)-maxAvoided):]
 }
 
-// written processes the outcome of a write.
-func (p *Promoter) written(now almondstep.Instant, e *almondstep.RolloutWritten, out []almondstep.Effect) []almondstep.Effect {
-	p.writing = false
-	if e.Err != "" || e.Conflict {
-		p.writeAt = now.Add(writeRetry)
-	}
-	switch {
-	case e.Conflict:
-		return p.conflict(e, out)
-	case e.Err != "":
-		return out
-	case e.Decision == nil:
-		p.setLeader(almondstep.RolloutLeader{Daemon: p.cfg.Self, Revision: e.Revision})
-		out = append(out, &almondstep.Report{Message: "this daemon leads the rollouts", Subject: string(p.cfg.Self), Version: e.Revision})
-		return p.lead(now, out)
-	}
-	return p.decisionStored(now, e, out)
-}
-
-// decisionStored puts a decision into force that the registry has accepted.
-func (p *Promoter) decisionStored(now almondstep.Instant, e *almondstep.RolloutWritten, out []almondstep.Effect) []almondstep.Effect {
-	d := e.Decision
-	if l := p.led[d.Service]; l != nil {
-		l.completing = nil
-	}
-	out = append(out, &almondstep.RolloutDecided{Decision: *d, Revision: e.Revision})
-	l, r := p.led[d.Service], p.rollouts()[d.Service]
-	if l == nil || r == nil || l.orderRevision != d.OrderRevision {
-		return out
-	}
-	l.revision = e.Revision
-	if l.best == nil || l.best.Stage != d.Stage {
-		l.stageAt = now
-		l.evidence.restart(now)
-	}
-	if l.best == nil || d.Supersedes(l.best) || *equalTo(d) == *equalTo(l.best) {
-		l.best, l.stored = d, true
-	}
-	return append(out, l.report(stateMessage(d), r))
-}
-
-func stateMessage(d *almondstep.RolloutDecision) string {
-	switch d.State {
-	case almondstep.RolloutCompleted:
-		return "rollout completed"
-	case almondstep.RolloutRolledBack:
-		return "rollout rolled back"
-	}
-	return "rollout in stage " + d.Stage.String()
-}
-
-// conflict takes over what the registry has: another leader, or other revisions.
-func (p *Promoter) conflict(e *almondstep.RolloutWritten, out []almondstep.Effect) []almondstep.Effect {
-	leader := almondstep.RolloutLeader{Revision: p.leader.Revision}
-	var decision almondstep.RolloutChange
-	for _, c := range e.Present {
-		switch {
-		case c.Subject == almondstep.RolloutLeaderChanged && c.Leader != nil:
-			leader = *c.Leader
-		case c.Subject == almondstep.RolloutDecisionMade:
-			decision = c
-		}
-	}
-	led := p.leads()
-	if e.Decision != nil {
-		if l := p.led[e.Decision.Service]; l != nil {
-			l.revision, l.completing = decision.Revision, nil
-			if d := decision.Decision; d != nil && d.OrderRevision == l.orderRevision && d.Supersedes(l.best) {
-				// An earlier write took effect although its answer was lost.
-				l.best, l.stored = d, true
-				out = append(out, &almondstep.RolloutDecided{Decision: *d, Revision: decision.Revision})
-			}
-		}
-	}
-	if leader != p.leader {
-		p.setLeader(leader)
-	}
-	if led && !p.leads() {
-		out = append(out, &almondstep.Report{Message: "another daemon leads the rollouts", Subject: string(leader.Daemon), Version: leader.Revision})
-	}
-	return out
-}
-
 // report returns the log line of a decision.
 func (l *ledRollout) report(message string, r *almondstep.Rollout) *almondstep.Report {
 	requests, exposed := l.evidence.exposure()
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// DefaultShare and DefaultRollback are the defaults of Config.Share and Config.Rollback.
-	DefaultShare    = 0.1
+	// DefaultShare is the default of Config.Share.
+	DefaultShare = 0.1
+	// DefaultRollback is the default of Config.Rollback.
 	DefaultRollback = 5 * time.Second
 	// reportInterval is the time between two reports to the leader.
 	reportInterval = time.Second
--- a/promoter/rollout_test.go
+++ b/promoter/rollout_test.go
@@ -256,3 +256,34 @@
 		t.Errorf("got state %v of the version that is ordered again, want %v", got, want)
 	}
 }
+
+// Guards against an outage when the version that is ordered is the only one: nothing can be
+// compared, and its requests would be refused until the time limit.
+func TestOrderForOnlyVersionIsCompletedSoon(t *testing.T) {
+	f := newFleet(t, 3, 1, 50, good)
+	for _, d := range f.daemons {
+		gone := upstreams("v1", 6)
+		for i := range gone {
+			gone[i].Upstream = nil
+		}
+		f.control(d, &almondstep.RegistryRead{Changes: &almondstep.RegistryChanges{Revision: 10, Upstreams: gone}})
+	}
+	f.load(20)
+	f.order("v2", limit)
+	f.run(10 * time.Second)
+	if got, want := f.last().State, almondstep.RolloutCompleted; got != want {
+		t.Errorf("got state %v, want %v", got, want)
+	}
+}
+
+// Guards against a move of all requests to upstreams that refuse connections: no answer fails.
+func TestUnreachableVersionGetsNoMore(t *testing.T) {
+	f := newFleet(t, 3, 1, 50, good)
+	f.refuse = true
+	f.load(20)
+	f.order("v2", limit)
+	f.run(limit)
+	if got, want := f.last().Stage, almondstep.StageCanary; got != want {
+		t.Errorf("got stage %v, want %v", got, want)
+	}
+}
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -36,18 +36,12 @@
 		r.background(func(ctx context.Context) { r.announce(ctx, f) })
 	case *almondstep.RecordCrashes:
 		r.background(func(ctx context.Context) { r.recordCrashes(ctx, f) })
-	case *almondstep.WriteRollout:
-		r.background(func(ctx context.Context) { r.writeRollout(ctx, f) })
-	case *almondstep.SendRolloutReport:
-		r.background(func(ctx context.Context) { r.sendRolloutReport(ctx, f) })
-	case *almondstep.ReplyRolloutReport:
-		r.calls.reply(f.Call, f)
 	case *almondstep.Report:
 		r.report(f)
 	case almondstep.QueryEvent, almondstep.QuotaEvent, almondstep.RolloutEvent:
 		r.deliver(f)
 	default:
-		r.Logger.Error("unhandled effect", "kind", f.Kind())
+		t.performRollout(f)
 	}
 }
 
--- a/runner/rollouts.go
+++ b/runner/rollouts.go
@@ -11,6 +11,21 @@
 // another region and a new connection.
 const rolloutReportTimeout = time.Second
 
+// performRollout performs the effects of the partition for rollouts.
+func (t *thread) performRollout(f almondstep.Effect) {
+	r := t.runner
+	switch f := f.(type) {
+	case *almondstep.WriteRollout:
+		r.background(func(ctx context.Context) { r.writeRollout(ctx, f) })
+	case *almondstep.SendRolloutReport:
+		r.background(func(ctx context.Context) { r.sendRolloutReport(ctx, f) })
+	case *almondstep.ReplyRolloutReport:
+		r.calls.reply(f.Call, f)
+	default:
+		r.Logger.Error("unhandled effect", "kind", f.Kind())
+	}
+}
+
 func (r *Runner) writeRollout(ctx context.Context, f *almondstep.WriteRollout) {
 	r.control.push(r.RolloutRegistry.WriteRollout(ctx, f))
 }
--- a/watcher/rollouts.go
+++ b/watcher/rollouts.go
@@ -85,14 +85,7 @@
 // whether it was applied.
 func (l *rolloutEntries) apply(now almondstep.Instant, c almondstep.RolloutChange) bool {
 	if c.Subject == almondstep.RolloutLeaderChanged {
-		if c.Revision <= l.leader.Revision || c.Leader == nil && l.leader.Daemon == "" {
-			return false
-		}
-		l.leader = almondstep.RolloutLeader{Revision: c.Revision}
-		if c.Leader != nil {
-			l.leader = *c.Leader
-		}
-		return true
+		return l.applyLeader(c)
 	}
 	r := l.services[c.Service]
 	switch {
@@ -114,6 +107,17 @@
 	return true
 }
 
+func (l *rolloutEntries) applyLeader(c almondstep.RolloutChange) bool {
+	if c.Revision <= l.leader.Revision || c.Leader == nil && l.leader.Daemon == "" {
+		return false
+	}
+	l.leader = almondstep.RolloutLeader{Revision: c.Revision}
+	if c.Leader != nil {
+		l.leader = *c.Leader
+	}
+	return true
+}
+
 // decided applies a decision of the leader that is ahead of the registry's entry, and reports
 // whether it was applied.
 func (l *rolloutEntries) decided(now almondstep.Instant, e *almondstep.RolloutDecided) bool {
