Write a rollout's decision again after the registry has lost it

Cause: the registry cache keeps the decision that is further, so that the leader didn't see that a registry restored from a copy had an older one, or none. Change: a change of the entry's revision that the leader hasn't written makes it write again.

--- a/promoter/fleet_store_test.go
+++ b/promoter/fleet_store_test.go
@@ -46,6 +46,9 @@
 	if leader.Leader == nil {
 		leader.Revision = 0
 	}
+	if decision.Decision == nil {
+		decision.Revision = 0
+	}
 	if leader.Revision != e.LeaderRevision || e.Decision != nil && (decision.Revision != e.DecisionRevision || f.entries["order"].Revision != e.Decision.OrderRevision) {
 		w.Conflict = true
 		w.Present = []almondstep.RolloutChange{leader, decision}
--- a/promoter/lead.go
+++ b/promoter/lead.go
@@ -30,6 +30,8 @@
 	stageAt almondstep.Instant
 	// revision is that of the decision's entry, as far as the leader knows.
 	revision uint64
+	// cached is the revision of the decision's entry in the registry cache when it was last compared.
+	cached uint64
 	// completing is the completion that is being written. It may take effect although no answer
 	// says so, and the old upstreams stop then: no rollback is decided until the outcome is known.
 	completing *almondstep.RolloutDecision
@@ -61,30 +63,21 @@
 	return l
 }
 
-// compare detects a registry that has another decision than the leader's own: it was restored
-// from a copy. The decision is then written again.
+// compare detects a decision in the registry that the leader hasn't written: the registry was
+// restored from a copy. The leader's own is then written again. The registry cache may hide what
+// the registry has, since it keeps the decision that is further.
 func (p *Promoter) compare(l *ledRollout, r *almondstep.Rollout) {
-	if r.DecisionRevision > l.revision {
+	changed := r.DecisionRevision != l.cached
+	l.cached = r.DecisionRevision
+	if changed && r.DecisionRevision > l.revision {
 		l.revision = r.DecisionRevision
-		l.stored = r.Decision != nil && l.best != nil && *equalTo(r.Decision) == *equalTo(l.best)
+		l.stored = l.best == nil
 	}
 	if r.Decision != nil && l.best != nil && r.Decision.Supersedes(l.best) && r.Current() == r.Decision {
 		l.best, l.stored, l.stageAt = r.Decision, true, r.DecidedAt
 	}
 }
 
-// decisionKey is what distinguishes two decisions.
-type decisionKey struct {
-	version almondstep.UpstreamVersion
-	order   uint64
-	state   almondstep.RolloutState
-	stage   almondstep.RolloutStage
-}
-
-func equalTo(d *almondstep.RolloutDecision) *decisionKey {
-	return &decisionKey{d.Version, d.OrderRevision, d.State, d.Stage}
-}
-
 // lead judges the rollouts and writes what is decided.
 func (p *Promoter) lead(now almondstep.Instant, out []almondstep.Effect) []almondstep.Effect {
 	if !p.leads() {
--- a/promoter/rollout_test.go
+++ b/promoter/rollout_test.go
@@ -166,9 +166,12 @@
 // Guards against a rollout that ends with its leader, or with the store for a while.
 func TestRolloutSurvivesFailures(t *testing.T) {
 	for name, fail := range map[string]func(*fleet){
-		"leader killed":     func(f *fleet) { f.daemons[f.claims[0]].dead = true },
-		"leader cut off":    func(f *fleet) { f.daemons[f.claims[0]].apart = true },
-		"store away":        func(f *fleet) { f.away = true; f.after(20*time.Second, func() { f.away = false }) },
+		"leader killed":  func(f *fleet) { f.daemons[f.claims[0]].dead = true },
+		"leader cut off": func(f *fleet) { f.daemons[f.claims[0]].apart = true },
+		"store away":     func(f *fleet) { f.away = true; f.after(20*time.Second, func() { f.away = false }) },
+		"decision lost": func(f *fleet) {
+			f.put("decision", almondstep.RolloutChange{Subject: almondstep.RolloutDecisionMade, Service: service})
+		},
 		"leader's key gone": func(f *fleet) { f.put("leader", almondstep.RolloutChange{Subject: almondstep.RolloutLeaderChanged}) },
 	} {
 		for kind, want := range map[string]almondstep.RolloutState{"good": almondstep.RolloutCompleted, "bad": almondstep.RolloutRolledBack} {
--- a/promoter/write.go
+++ b/promoter/write.go
@@ -37,7 +37,7 @@
 		l.stageAt = now
 		l.evidence.restart(now)
 	}
-	if l.best == nil || d.Supersedes(l.best) || *equalTo(d) == *equalTo(l.best) {
+	if l.best == nil || !l.best.Supersedes(d) {
 		l.best, l.stored = d, true
 	}
 	return append(out, l.report(stateMessage(d), r))
