Merge: rollouts

The conditions of decisions name revisions with their eras, a lease counts in its era only, and after a restore of the store orders stay for the grace and decisions are written again.

--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -1,7 +1,6 @@
 package allocator
 
 import (
-	"math"
 	"time"
 
 	"almondstep"
@@ -167,20 +166,20 @@
 	}
 	lender := h.static > 0
 	b := h.buckets[o]
-	if b == nil {
-		b = &bucket{updated: now, asked: now}
+	extra := l.extra(l.depth, lender)
+	if isNew := b == nil; isNew || l.windowed != (b.window != nil) {
+		b = newBucket(now, l, a.cfg.Window)
 		switch {
-		case changed:
+		case changed || !isNew:
 		case now.Sub(h.since) > a.cfg.Window && !l.single:
 			// The organisation is new: nothing of its limit has been used.
-			b.content = math.Inf(1)
+			b.setFull(l.inflow(fraction))
 		case h.initial:
-			b.content = l.extra(l.initial, lender)
+			b.setInitial(l.extra(l.initial, lender))
 		}
-		b.depth = b.content
 		h.buckets[o] = b
 	}
-	b.refill(now, l, fraction, l.extra(l.depth, lender))
+	b.refill(now, l, fraction, extra)
 	return b
 }
 
@@ -219,13 +218,13 @@
 		return almondstep.QuotaAnswer{Unknown: true}
 	}
 	if ask.Return {
-		b.content = min(b.depth, b.content+1)
+		b.giveBack()
 		return almondstep.QuotaAnswer{Granted: true}
 	}
 	if !ask.Redirected {
 		b.count(now, l)
 	}
-	granted, wait := b.take(l)
+	granted, wait := b.take(now)
 	leased := now < h.leasedUntil()
 	spare := leased && !h.exceeded[ask.Organisation]
 	if !leased && !h.settled(now) && b.fraction == 0 {
--- a/allocator/limit.go
+++ b/allocator/limit.go
@@ -21,12 +21,20 @@
 	// minRegionalDepth is the depth of a region's bucket, in requests, below which one bucket for
 	// all regions serves an organisation: chance alone would empty smaller ones below the limit.
 	minRegionalDepth = 2
+	// minWindowed is the least number of requests in a window for which grants are counted by the
+	// window. For fewer, the fractions of requests that remain unused would be too large a part.
+	minWindowed = 10
 )
 
 // limit is the limit of one organisation, divided among those who use parts of it. In any window,
 // the requests are at most the sum of the buckets' depths, of the inflow at rate, of the initial
-// contents and of the reserves.
+// contents and of the reserves. A windowed limit grants the burst again in each window, also to
+// an organisation that is always above its rate: its buckets fill faster, and count what they
+// grant in a window.
 type limit struct {
+	// window is the time over which requests are counted, in seconds.
+	window   float64
+	windowed bool
 	// rate is in requests per second; the others are in requests.
 	rate    float64
 	burst   float64
@@ -43,6 +51,7 @@
 	window := cfg.Window.Seconds()
 	surplus := usedSurplus * (cfg.Overage*(o.Rate()*window+o.Burst()) + cfg.Slack)
 	l := limit{
+		window:  window,
 		rate:    o.Rate(),
 		burst:   o.Burst(),
 		depth:   surplus * depthShare,
@@ -60,9 +69,27 @@
 		l.rate = max(0, l.rate-(1-l.burst-l.depth)/window)
 		l.depth = 1 - l.burst
 	}
+	l.windowed = l.rate*window+l.burst+l.extra(l.depth, true)*l.buckets() >= minWindowed
 	return l
 }
 
+// buckets is the number of buckets, apart from the deputies'.
+func (l limit) buckets() float64 {
+	if l.single {
+		return 1
+	}
+	return l.places
+}
+
+// inflow returns what a bucket with a fraction of the limit may grant over time, in requests per
+// second.
+func (l limit) inflow(fraction float64) float64 {
+	if !l.windowed {
+		return fraction * l.rate
+	}
+	return fraction * (l.rate + l.burst/l.window)
+}
+
 // extra returns the part of a surplus for one bucket.
 func (l limit) extra(surplus float64, lender bool) float64 {
 	switch {
@@ -82,32 +109,88 @@
 	content  float64
 	fraction float64
 	depth    float64
-	updated  almondstep.Instant
+	// inflow is in requests per second.
+	inflow  float64
+	updated almondstep.Instant
+	// window is nil if the limit isn't windowed.
+	window *window
+	// promised is when the request that was last refused may be granted, if those before it come
+	// again when they were told to.
+	promised almondstep.Instant
 	// demand is the recent rate of requests, granted or not, in requests per second.
 	demand float64
 	asked  almondstep.Instant
 }
 
+// newBucket returns an empty bucket.
+func newBucket(now almondstep.Instant, l limit, length time.Duration) *bucket {
+	b := &bucket{updated: now, asked: now}
+	if l.windowed {
+		b.window = &window{length: length, updated: now}
+	}
+	return b
+}
+
+// setFull fills a new bucket, as if its inflow had been unused for a window.
+func (b *bucket) setFull(inflow float64) {
+	b.content = math.Inf(1)
+	b.depth = b.content
+	if b.window != nil {
+		b.window.fill(inflow)
+	}
+}
+
+// setInitial puts requests into a new bucket.
+func (b *bucket) setInitial(requests float64) {
+	b.content, b.depth = requests, requests
+	if b.window != nil {
+		b.window.allow(requests)
+	}
+}
+
 // refill adds the inflow since the last refill at the fraction that applied then, and continues
 // with the given fraction. A fraction that falls takes its part of the content with it.
 func (b *bucket) refill(now almondstep.Instant, l limit, fraction, extra float64) {
 	passed := max(0, now.Sub(b.updated)).Seconds()
-	b.content = min(b.depth, b.content+b.fraction*l.rate*passed)
+	b.content = min(b.depth, b.content+b.inflow*passed)
+	if b.window != nil {
+		b.window.advance(now, b.inflow)
+		b.window.extra = extra
+	}
 	b.updated, b.fraction, b.depth = now, fraction, fraction*l.burst+extra
+	b.inflow = l.inflow(fraction)
 	b.content = min(b.content, b.depth)
 }
 
-// take takes one request from the bucket; otherwise it returns the time until it holds one.
-func (b *bucket) take(l limit) (bool, time.Duration) {
-	if b.content >= 1-wholeTolerance {
+// take takes one request from the bucket; otherwise it returns the time until it may be granted.
+func (b *bucket) take(now almondstep.Instant) (bool, time.Duration) {
+	windowWait := time.Duration(0)
+	if b.window != nil {
+		windowWait = b.window.wait()
+	}
+	if b.content >= 1-wholeTolerance && windowWait == 0 {
 		b.content--
+		if b.window != nil {
+			b.window.grant(1)
+		}
 		return true, 0
 	}
-	if inflow := b.fraction * l.rate; inflow > 0 && b.depth >= 1 {
-		wait := time.Duration((1 - b.content) / inflow * float64(time.Second))
-		return false, min(max(wait, minRetryAfter), maxRetryAfter)
+	if b.inflow <= 0 || b.depth < 1 {
+		return false, leaseRetryAfter
+	}
+	each := time.Duration(float64(time.Second) / b.inflow)
+	wait := max(windowWait, time.Duration((1-b.content)*float64(each)))
+	// Requests that are refused together are told to come one after the other.
+	b.promised = max(now.Add(wait), b.promised.Add(each))
+	return false, min(max(b.promised.Sub(now), minRetryAfter), maxRetryAfter)
+}
+
+// giveBack returns a request that was granted and not sent.
+func (b *bucket) giveBack() {
+	b.content = min(b.depth, b.content+1)
+	if b.window != nil {
+		b.window.grant(-1)
 	}
-	return false, leaseRetryAfter
 }
 
 const (
--- a/directory.go
+++ b/directory.go
@@ -35,6 +35,8 @@
 	// ColdFor is the time that the upstream stays cold, counted from when its registry
 	// entry was read; 0 if it is warm.
 	ColdFor time.Duration
+	// Version is the version of its program; empty if unknown.
+	Version UpstreamVersion
 }
 
 // Run returns the identity of this run of the upstream.
@@ -69,6 +71,8 @@
 	delegates         []Delegate
 	regionalDelegates map[RegionName][]Delegate
 	members           []Member
+	rollouts          map[ServiceName]*Rollout
+	rolloutLeader     RolloutLeader
 }
 
 // Member is one daemon of the fleet, as the registry lists it.
@@ -104,6 +108,10 @@
 	RegionalDelegates map[RegionName][]Delegate
 	// Members are all daemons that have an address, and this one, in any order.
 	Members []Member
+	// Rollouts are the rollouts in the registry, by service, and RolloutLeader is the daemon
+	// that decides on them.
+	Rollouts      map[ServiceName]*Rollout
+	RolloutLeader RolloutLeader
 }
 
 // NewDirectory creates a directory. The caller must not change what the spec refers
@@ -118,6 +126,8 @@
 		delegates:         spec.Delegates,
 		regionalDelegates: spec.RegionalDelegates,
 		members:           spec.Members,
+		rollouts:          spec.Rollouts,
+		rolloutLeader:     spec.RolloutLeader,
 	}
 	if d.gatherers <= 0 || d.gatherers > d.daemons {
 		d.gatherers = d.daemons
@@ -162,3 +172,9 @@
 // RegionalDelegatesByRegion maps each other region to its regional delegates. The
 // caller must not change it.
 func (d *Directory) RegionalDelegatesByRegion() map[RegionName][]Delegate { return d.regionalDelegates }
+
+// Rollouts maps services to their rollouts. The caller must not change it.
+func (d *Directory) Rollouts() map[ServiceName]*Rollout { return d.rollouts }
+
+// RolloutLeader is the daemon that decides on rollouts.
+func (d *Directory) RolloutLeader() RolloutLeader { return d.rolloutLeader }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,10 @@
 	// RenewInterval is that at which upstreams renew their entries in the registry; an entry
 	// that isn't renewed for three intervals is removed. 0 means that it isn't known.
 	RenewInterval time.Duration
+	// ExposeShare and ExposeSlack limit the calls to a version in rollout, over all daemons: that
+	// share of the service's requests, and so many more.
+	ExposeShare float64
+	ExposeSlack float64
 }
 
 // Forwarder is the reducer partition for the routed requests of one traffic thread.
@@ -51,6 +55,7 @@
 	leaving   leavingRuns
 	silent    silentUpstreams
 	answered  recentAnswers
+	rollouts  rolloutSplits
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -86,6 +91,7 @@
 		region:    cfg.Region,
 		load:      gatherLoad{cores: cfg.Cores},
 		needed:    make(neededShards),
+		rollouts:  rolloutSplits{share: cfg.ExposeShare, slack: cfg.ExposeSlack, seed: cfg.Seed},
 
 		silent:      silentUpstreams{renewInterval: cfg.RenewInterval},
 		crashLimit:  cfg.CrashLimit,
@@ -120,6 +126,7 @@
 			f.leaving.retain(now, d)
 			f.needed.retain(now)
 			out = f.reportSilentCrashes(now, out)
+			out = f.rollouts.update(d, out)
 		}
 		return f.capDeadlines(now, out)
 	}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -43,6 +43,7 @@
 	peerpb.News
 	peerpb.Delegate
 	peerpb.Quota
+	peerpb.Rollout
 }
 
 // currentClients returns the clients over the current connection, creating both if there
@@ -59,6 +60,7 @@
 
 			Delegate: peerpb.NewDelegateProtobufClient(p.base(), c),
 			Quota:    peerpb.NewQuotaProtobufClient(p.base(), c),
+			Rollout:  peerpb.NewRolloutProtobufClient(p.base(), c),
 		}
 	}
 	return p.client
--- a/messenger/quota.go
+++ b/messenger/quota.go
@@ -33,6 +33,11 @@
 	}, nil
 }
 
+// ReportQuota calls Report of the service Quota; the service Rollout has one too.
+func (c *clients) ReportQuota(ctx context.Context, req *peerpb.QuotaReportRequest) (*peerpb.QuotaLeaseReply, error) {
+	return c.Quota.Report(ctx, req)
+}
+
 // ReportQuota reports a lender's demand to a coordinator.
 func (c *Client) ReportQuota(ctx context.Context, to almondstep.Address, report *almondstep.QuotaReport) (*almondstep.QuotaLease, error) {
 	req := &peerpb.QuotaReportRequest{
@@ -40,7 +45,7 @@
 		Settled: report.Settled, Demand: encodeShares(report.Demand),
 	}
 	count(c.Sent, "quotaReport", req)
-	r, err := call(ctx, c.peer(to), (*clients).Report, req)
+	r, err := call(ctx, c.peer(to), (*clients).ReportQuota, req)
 	if err != nil {
 		return nil, classify(err)
 	}
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -34,12 +34,14 @@
 
 // Server serves the messages of other daemons.
 type Server struct {
-	// Peer serves Works and control messages, RegistryUpdates registry updates and
-	// Gatherer delegated requests, and Quotas the quotas of organisations; calls to a nil one fail with ErrUnavailable.
+	// Peer serves Works and control messages, RegistryUpdates registry updates, Gatherer
+	// delegated requests, Quotas the quotas of organisations and Rollouts reports on
+	// rollouts; calls to a nil one fail with ErrUnavailable.
 	Peer            almondstep.PeerServer
 	RegistryUpdates almondstep.RegistryUpdateServer
 	Gatherer        almondstep.GatherServer
 	Quotas          almondstep.QuotaServer
+	Rollouts        almondstep.RolloutServer
 	// TLS is the certificate and the authorities; nil disables TLS.
 	TLS *tls.Config
 	// Budget bounds the memory of the requests that are being served; nil doesn't.
@@ -84,6 +86,9 @@
 	if s.Quotas != nil {
 		services.Handle(peerpb.QuotaPathPrefix, peerpb.NewQuotaServer(&quotaHandler{quotas: s.Quotas, sent: s.Sent}))
 	}
+	if s.Rollouts != nil {
+		services.Handle(peerpb.RolloutPathPrefix, peerpb.NewRolloutServer(&rolloutHandler{rollouts: s.Rollouts, sent: s.Sent}))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -56,6 +56,7 @@
 	// delegated counts the requests that a delegate answered.
 	delegated *metrics.Counter
 	broken    *metrics.Counter
+	exposed   *metrics.Counter
 }
 
 // replyKey has the labels of the counter of answers to routed requests.
@@ -205,6 +206,7 @@
 	if t.Delegate != "" {
 		m.delegated.Inc()
 	}
+	m.exposed.Add(t.Exposed)
 	m.broken.Add(len(t.Disconnected))
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -83,6 +83,7 @@
 		delegated: r.set.GetOrCreateCounter(labeled(requestDelegated, label...)),
 		limited:   r.set.GetOrCreateCounter(labeled(requestLimited, label...)),
 		broken:    r.set.GetOrCreateCounter(labeled(requestBroken, label...)),
+		exposed:   r.set.GetOrCreateCounter(labeled(requestExposed, label...)),
 	}
 }
 
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -55,6 +55,8 @@
 	grantedUpstreams     = "almondstep_granted_upstreams"
 	organisationRequests = "almondstep_organisation_requests_total"
 	registryEra          = "almondstep_registry_era"
+	requestExposed       = "almondstep_request_exposed_calls_total"
+	rollouts             = "almondstep_rollouts"
 )
 
 // Metrics lists every metric a daemon has, in the order of the documentation.
@@ -109,6 +111,11 @@
 			"Routed requests whose shards another daemon queried on behalf of this one.",
 			"Below the requests of a route over shards, at a daemon that isn't a gatherer: its delegates are overloaded or fail. The log says which (\"delegate overloaded\", \"delegate left alone\").",
 		},
+		{
+			requestExposed, Counter, "calls", "route",
+			"Calls to new versions whose rollout isn't completed.",
+			"Rises during a rollout only. The log says in which stage it is (\"rollout in stage\").",
+		},
 		{
 			requestBroken, Counter, "upstreams", "route",
 			"Upstreams that ended the connection while they had a routed request, at most 8 a request.",
@@ -214,6 +221,11 @@
 			"Other daemons whose address is known here.",
 			"A sudden drop in one zone is a partition or a loss of VMs.",
 		},
+		{
+			rollouts, Gauge, "rollouts", "state",
+			"Rollouts that this daemon knows of, by state: waiting, canary, ramp, all, completed, rolledBack.",
+			"waiting for more than some seconds: no daemon leads, look at the calls to the platform. rolledBack: the log of the leader says why (\"new version is bad\").",
+		},
 		{
 			quarantined, Gauge, "requests", "",
 			"Requests refused because they crashed what ran them.",
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -42,7 +42,7 @@
 		r.deliver(f)
 	default:
 		if !r.performQuota(f) {
-			r.Logger.Error("unhandled effect", "kind", f.Kind())
+			t.performRollout(f)
 		}
 	}
 }
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -30,7 +30,8 @@
 		changed = w.applyDaemon(now, d) || changed
 	}
 	crashes, out := w.applyCrashes(now, e, c.Crashes, out)
-	changed = crashes || changed
+	rollouts, out := w.applyRollouts(now, e, c.Rollouts, out)
+	changed = crashes || rollouts || changed
 	return changed || w.publishedDaemons != w.daemonCount(), out
 }
 
@@ -244,6 +245,8 @@
 		Delegates:         gatherers.delegates,
 		RegionalDelegates: gatherers.regional,
 		Members:           w.members(),
+		Rollouts:          w.rollouts.publish(),
+		RolloutLeader:     w.rollouts.leader,
 	})
 	return w.publishAge(w.reportRole(gatherers, out))
 }
--- a/watcher/restore.go
+++ b/watcher/restore.go
@@ -118,6 +118,9 @@
 	fresh.DrainedZones = without(c.DrainedZones, func(z almondstep.ZoneChange) bool { return w.restored.fromCopy(z.Revision) && z.Drained })
 	fresh.Daemons = without(c.Daemons, func(d almondstep.DaemonChange) bool { return w.restored.fromCopy(d.Revision) && d.Alive })
 	fresh.Crashes = without(c.Crashes, func(r almondstep.CrashChange) bool { return w.restored.fromCopy(r.Revision) && !r.Removed })
+	fresh.Rollouts = without(c.Rollouts, func(r almondstep.RolloutChange) bool {
+		return w.restored.fromCopy(r.Revision) && r.Order != nil && w.rollouts.services[r.Service].OrderRevision != 0
+	})
 	return &fresh
 }
 
@@ -131,6 +134,7 @@
 	current.DrainedZones = without(c.DrainedZones, func(z almondstep.ZoneChange) bool { return isEarlier(z.Revision) })
 	current.Daemons = without(c.Daemons, func(d almondstep.DaemonChange) bool { return isEarlier(d.Revision) })
 	current.Crashes = without(c.Crashes, func(r almondstep.CrashChange) bool { return isEarlier(r.Revision) })
+	current.Rollouts = without(c.Rollouts, func(r almondstep.RolloutChange) bool { return isEarlier(r.Revision) })
 	return &current
 }
 
--- a/watcher/restore_settle.go
+++ b/watcher/restore_settle.go
@@ -24,6 +24,8 @@
 			w.drainedZones[z.Zone] = held
 		}
 	}
+	w.rollouts.confirm(w.restored.fromCopy, c.Rollouts)
+	w.rollouts.forgetRevisions(c)
 	for _, r := range c.Crashes {
 		if held, known := w.crashes.records[r.CrashRecord]; known && !r.Removed && w.restored.fromCopy(r.Revision) {
 			held.revision = max(held.revision, r.Revision)
@@ -96,6 +98,7 @@
 		}
 	}
 	changed = w.crashes.dropLost(now, begin) || changed
+	changed = w.rollouts.dropLost(begin) || changed
 	w.journal.dropLost(begin)
 	return changed, out
 }
