Grant a limit's burst and surplus in each window; lease at once after a restart of all

Change: a lender counts what it granted and what its fractions allowed in the last window; since the fractions sum to at most 1 at any time, so do the sums. A coordinator that knows of every lease in use, because each lender follows it or has none since its start, leases to lenders that aren't settled.

--- a/allocator/coordinator.go
+++ b/allocator/coordinator.go
@@ -35,7 +35,10 @@
 	// contactAt is a time that is certainly before the lender's last report; 0 if unknown.
 	contactAt  almondstep.Instant
 	reportedAt almondstep.Instant
-	demand     map[almondstep.OrganisationName]float64
+	// known is set if the lender holds no lease of another coordinator: it follows this one, or
+	// has received no lease since it started.
+	known  bool
+	demand map[almondstep.OrganisationName]float64
 }
 
 // grant is a lease that a lender may use.
@@ -89,8 +92,8 @@
 		return almondstep.QuotaLease{Refused: true}
 	}
 	static := a.static(r.Group, r.From).used(now)
-	lease := almondstep.QuotaLease{Epoch: c.epoch, Default: static}
-	if !r.Settled && r.Epoch != c.epoch {
+	lease := almondstep.QuotaLease{Epoch: c.epoch, Default: static, Complete: c.knowsAll(now, g)}
+	if !r.Settled && r.Epoch != c.epoch && !lease.Complete {
 		return lease
 	}
 	c.number++
@@ -124,6 +127,7 @@
 		c.lenders[r.From] = s
 	}
 	s.reportedAt = now
+	s.known = r.Fresh || r.Epoch == c.epoch && r.Lease != 0
 	s.demand = make(map[almondstep.OrganisationName]float64, len(r.Demand))
 	for _, d := range r.Demand {
 		s.demand[d.Organisation] = d.Value
@@ -146,6 +150,21 @@
 	return s
 }
 
+// knowsAll reports whether all lenders and deputies of a group have reported recently, and none of
+// them holds a lease of another coordinator. After a restart of all daemons no fraction is in use
+// then that this coordinator hasn't granted.
+func (c *coordinator) knowsAll(now almondstep.Instant, g group) bool {
+	for _, p := range g.places {
+		for _, id := range []almondstep.DaemonID{p.lender.ID, p.deputy.ID} {
+			s := c.lenders[id]
+			if id != "" && (s == nil || !s.known || now.Sub(s.reportedAt) >= leaseTime) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // reachesMajority reports whether lenders with more than half of the static fractions report. A
 // coordinator with an old directory that reaches fewer may be cut off, and the others may have divided
 // the limits anew.
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -109,7 +109,7 @@
 // later lease has been received. It reports whether the coordinator is a new one.
 func (h *holder) accept(sent almondstep.Instant, settled bool, l *almondstep.QuotaLease) (changed bool) {
 	switch {
-	case l.Epoch != h.epoch && (!settled || l.Number == 0):
+	case l.Epoch != h.epoch && (!settled && !l.Complete || l.Number == 0):
 		h.epoch, h.number = 0, 0
 		return false
 	case l.Epoch == h.epoch && l.Number <= h.number:
@@ -173,7 +173,7 @@
 		case changed || !isNew:
 		case now.Sub(h.since) > a.cfg.Window && !l.single:
 			// The organisation is new: nothing of its limit has been used.
-			b.setFull(l.inflow(fraction))
+			b.setFull(l.inflow(fraction, extra))
 		case h.initial:
 			b.setInitial(l.extra(l.initial, lender))
 		}
--- a/allocator/limit.go
+++ b/allocator/limit.go
@@ -28,9 +28,10 @@
 
 // limit is the limit of one organisation, divided among those who use parts of it. In any window,
 // the requests are at most the sum of the buckets' depths, of the inflow at rate, of the initial
-// contents and of the reserves. A windowed limit grants the burst again in each window, also to
-// an organisation that is always above its rate: its buckets fill faster, and count what they
-// grant in a window.
+// contents and of the reserves. A windowed limit grants the burst and the depths again in
+// each window, also to an organisation that is always above its rate: its buckets fill faster,
+// and count what they grant in a window. What the bound of a window leaves is of more use to
+// callers than a margin.
 type limit struct {
 	// window is the time over which requests are counted, in seconds.
 	window   float64
@@ -81,13 +82,13 @@
 	return l.places
 }
 
-// inflow returns what a bucket with a fraction of the limit may grant over time, in requests per
-// second.
-func (l limit) inflow(fraction float64) float64 {
-	if !l.windowed {
+// inflow returns what a bucket with a fraction of the limit and a part of the surplus may grant
+// over time, in requests per second.
+func (l limit) inflow(fraction, extra float64) float64 {
+	if !l.windowed || fraction <= 0 {
 		return fraction * l.rate
 	}
-	return fraction * (l.rate + l.burst/l.window)
+	return fraction*l.rate + (fraction*l.burst+extra)/l.window
 }
 
 // extra returns the part of a surplus for one bucket.
@@ -122,6 +123,15 @@
 	asked  almondstep.Instant
 }
 
+// depthOf returns the depth of a bucket with a fraction of the limit and a part of the surplus. A
+// windowed limit adds the surplus over the window, so that a burst leaves more for the time after it.
+func (l limit) depthOf(fraction, extra float64) float64 {
+	if l.windowed {
+		return max(fraction*l.burst, extra)
+	}
+	return fraction*l.burst + extra
+}
+
 // newBucket returns an empty bucket.
 func newBucket(now almondstep.Instant, l limit, length time.Duration) *bucket {
 	b := &bucket{updated: now, asked: now}
@@ -155,10 +165,9 @@
 	b.content = min(b.depth, b.content+b.inflow*passed)
 	if b.window != nil {
 		b.window.advance(now, b.inflow)
-		b.window.extra = extra
 	}
-	b.updated, b.fraction, b.depth = now, fraction, fraction*l.burst+extra
-	b.inflow = l.inflow(fraction)
+	b.updated, b.fraction, b.depth = now, fraction, l.depthOf(fraction, extra)
+	b.inflow = l.inflow(fraction, extra)
 	b.content = min(b.content, b.depth)
 }
 
--- a/allocator/reporting.go
+++ b/allocator/reporting.go
@@ -13,6 +13,8 @@
 const (
 	// reportInterval is the time between two reports; ticks make it up to one tick longer.
 	reportInterval = 250 * time.Millisecond
+	// firstReportInterval is that time as long as a lender has no lease.
+	firstReportInterval = 100 * time.Millisecond
 	// reportTimeout bounds a report: a round trip between regions takes 40 ms.
 	reportTimeout = 300 * time.Millisecond
 	// maxReportFailures is the number of failed reports in a row after which a lender reports to
@@ -61,6 +63,9 @@
 		return out
 	}
 	r.nextAt = now.Add(reportInterval)
+	if h.fractions == nil {
+		r.nextAt = now.Add(firstReportInterval)
+	}
 	return a.sendReport(now, n, r.place, false, out)
 }
 
@@ -68,7 +73,7 @@
 func (a *Allocator) sendReport(now almondstep.Instant, n, place int, probe bool, out []almondstep.Effect) []almondstep.Effect {
 	h := a.holders[n]
 	to := a.fleet.groups[n].places[place].lender
-	report := almondstep.QuotaReport{From: a.cfg.Self, Group: n, Settled: h.settled(now), Demand: a.demand(now, h)}
+	report := almondstep.QuotaReport{From: a.cfg.Self, Group: n, Settled: h.settled(now), Fresh: h.initial && h.fractions == nil, Demand: a.demand(now, h)}
 	if h.epoch != 0 && h.reporting.owner == to.ID {
 		report.Epoch, report.Lease = h.epoch, h.number
 		h.quietUntil = max(h.quietUntil, now.Add(quietTime))
--- a/allocator/window.go
+++ b/allocator/window.go
@@ -18,8 +18,6 @@
 	updated almondstep.Instant
 	granted [windowSlots + 1]float64
 	allowed [windowSlots + 1]float64
-	// extra is what is allowed in each window in addition.
-	extra float64
 }
 
 func (w *window) slot() time.Duration { return w.length / windowSlots }
@@ -70,7 +68,7 @@
 // oldest slots have left the window. It is 0 if one may now.
 func (w *window) wait() time.Duration {
 	oldest := (w.index(w.updated) + 1) % (windowSlots + 1)
-	excess := 1 - wholeTolerance - w.extra
+	excess := 1 - wholeTolerance
 	for i := range w.granted {
 		excess += w.granted[i]
 		if i != oldest {
--- a/message_quota.go
+++ b/message_quota.go
@@ -93,6 +93,8 @@
 	Lease uint64 `json:"lease,omitempty"`
 	// Settled is set if no earlier coordinator can still lend this lender's static fraction.
 	Settled bool `json:"settled,omitempty"`
+	// Fresh is set if the lender has received no lease since its process started.
+	Fresh bool `json:"fresh,omitempty"`
 	// Demand is the organisations' demand in requests per second, by name.
 	Demand []OrganisationShare `json:"demand,omitempty"`
 }
@@ -107,6 +109,9 @@
 	Fractions []OrganisationShare `json:"fractions,omitempty"`
 	// Exceeded lists the organisations whose demand is above their limit.
 	Exceeded []OrganisationName `json:"exceeded,omitempty"`
+	// Complete is set if the coordinator knows of all leases in use, because each lender follows
+	// it or is fresh. A lender that isn't settled then uses the lease.
+	Complete bool `json:"complete,omitempty"`
 	// Refused is set if the daemon isn't the coordinator of the group.
 	Refused bool `json:"refused,omitempty"`
 }
--- a/messenger/quota.go
+++ b/messenger/quota.go
@@ -42,7 +42,7 @@
 func (c *Client) ReportQuota(ctx context.Context, to almondstep.Address, report *almondstep.QuotaReport) (*almondstep.QuotaLease, error) {
 	req := &peerpb.QuotaReportRequest{
 		From: string(report.From), Group: uint32(report.Group), Epoch: report.Epoch, Lease: report.Lease,
-		Settled: report.Settled, Demand: encodeShares(report.Demand),
+		Settled: report.Settled, Fresh: report.Fresh, Demand: encodeShares(report.Demand),
 	}
 	count(c.Sent, "quotaReport", req)
 	r, err := call(ctx, c.peer(to), (*clients).ReportQuota, req)
@@ -52,7 +52,7 @@
 	if len(r.GetExceeded()) > maxQuotaShares {
 		return nil, errors.Wrap(almondstep.ErrUnavailable, "a message about quotas lists too many organisations")
 	}
-	lease := &almondstep.QuotaLease{Epoch: r.GetEpoch(), Number: r.GetNumber(), Default: r.GetDefaultFraction(), Refused: r.GetRefused()}
+	lease := &almondstep.QuotaLease{Epoch: r.GetEpoch(), Number: r.GetNumber(), Default: r.GetDefaultFraction(), Complete: r.GetComplete(), Refused: r.GetRefused()}
 	if lease.Fractions, err = decodeShares(r.GetFractions()); err != nil {
 		return nil, err
 	}
@@ -100,13 +100,13 @@
 	}
 	l, err := h.quotas.ReportQuota(ctx, &almondstep.QuotaReport{
 		From: almondstep.DaemonID(r.GetFrom()), Group: int(r.GetGroup()), Epoch: r.GetEpoch(), Lease: r.GetLease(),
-		Settled: r.GetSettled(), Demand: demand,
+		Settled: r.GetSettled(), Fresh: r.GetFresh(), Demand: demand,
 	})
 	if err != nil {
 		return nil, twirpError(err)
 	}
 	out := &peerpb.QuotaLeaseReply{
-		Epoch: l.Epoch, Number: l.Number, DefaultFraction: l.Default, Refused: l.Refused, Fractions: encodeShares(l.Fractions),
+		Epoch: l.Epoch, Number: l.Number, DefaultFraction: l.Default, Complete: l.Complete, Refused: l.Refused, Fractions: encodeShares(l.Fractions),
 	}
 	for _, o := range l.Exceeded {
 		out.Exceeded = append(out.Exceeded, string(o))
