Choose gatherers by zone, delegate inside it first; answer 20 ms before the target

Cause: with gatherers chosen by region only, replies to urgent requests crossed zones and came after the latency target of 100 ms; answers left 13 ms before it, less than a caller needs that opens a connection at 3 ms one way.

Change: each zone has at least one gatherer, the region's others take over when it fails or is overloaded; 20 ms are reserved.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,6 +89,7 @@
 		rates:     budgeter.RateLimiter{Seed: cfg.Seed},
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		region:    cfg.Region,
+		delegates: delegatePool{zone: cfg.Zone},
 		load:      gatherLoad{cores: cfg.Cores},
 		needed:    make(neededShards),
 		rollouts:  rolloutSplits{share: cfg.ExposeShare, slack: cfg.ExposeSlack, seed: cfg.Seed},
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -19,7 +19,9 @@
 // delegatePool distributes requests over the delegates in proportion to the free part of the
 // CPU cores of their VMs, and skips those that don't answer or are overloaded.
 type delegatePool struct {
-	all map[almondstep.DaemonID]*delegateState
+	// zone is that of this daemon.
+	zone almondstep.ZoneName
+	all  map[almondstep.DaemonID]*delegateState
 }
 
 // delegateState holds this daemon's observations of one delegate.
--- a/forwarder/pool_load.go
+++ b/forwarder/pool_load.go
@@ -103,24 +103,30 @@
 // a request: it gets one at a time until it replies.
 func (s *delegateState) recovering() bool { return s.backoff > 0 && len(s.openCalls) > 0 }
 
-// candidates returns the delegates that may get one more request: those that aren't
-// overloaded and, if there is one, aren't doubted.
+// candidates returns the delegates that may get one more request: those that aren't overloaded
+// and, if there is one, aren't doubted. Those of this daemon's own zone come before others, since
+// their replies don't take the way between zones.
 func (m *delegatePool) candidates(now almondstep.Instant, among []almondstep.Delegate, usable func(almondstep.DaemonID) bool) []almondstep.Delegate {
-	var trusted, doubted []almondstep.Delegate
+	var near, trusted, doubted []almondstep.Delegate
 	for _, d := range among {
 		s := m.state(d.ID)
 		switch {
 		case !s.usable(now) || !usable(d.ID) || s.load.overloaded(now):
 		case s.doubted(now):
 			doubted = append(doubted, d)
+		case m.zone != "" && d.Zone == m.zone:
+			near = append(near, d)
 		default:
 			trusted = append(trusted, d)
 		}
 	}
-	if len(trusted) == 0 {
-		return doubted
+	switch {
+	case len(near) > 0:
+		return near
+	case len(trusted) > 0:
+		return trusted
 	}
-	return trusted
+	return doubted
 }
 
 // overloadReport returns the log line for a delegate that reports for the first time in a
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -161,9 +161,10 @@
 }
 
 const (
-	// replyTime is reserved for a reply to reach its caller, with a margin for a
-	// busy processor.
-	replyTime = 13 * time.Millisecond
+	// replyTime is reserved for a reply to reach its caller, and for the time before the request
+	// arrived: a caller that opens a connection counts two round trips of some 6 ms. The rest is
+	// a margin for a busy processor on both ways.
+	replyTime = 20 * time.Millisecond
 	// minTimeLeft is the minimum time to answer a request, so that one that arrives
 	// with almost no time left is still tried.
 	minTimeLeft = time.Millisecond
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -1,5 +1,7 @@
 package recorder
 
+import "slices"
+
 // Kind is the type of a metric.
 type Kind string
 
@@ -61,7 +63,7 @@
 
 // Metrics lists every metric a daemon has, in the order of the documentation.
 func Metrics() []Metric {
-	return append(append(callerTable(), routeTable()...), daemonTable()...)
+	return slices.Concat(callerTable(), routeTable(), daemonTable(), stateTable())
 }
 
 func routeTable() []Metric {
@@ -196,6 +198,12 @@
 			"Log lines dropped because too many came, or nobody read them.",
 			"Rising: the log has gaps; the next line says how many lines are missing.",
 		},
+	}
+}
+
+// stateTable lists the gauges, which are read from the newest view.
+func stateTable() []Metric {
+	return []Metric{
 		{
 			revision, Gauge, "revision", "",
 			"Revision of the configuration in force here; 0 if none.",
--- a/watcher/gatherers.go
+++ b/watcher/gatherers.go
@@ -17,13 +17,10 @@
 	// minRegionGatherers is the minimum number of gatherers of a region that has as many
 	// daemons, so that it can lose one.
 	minRegionGatherers = 2
-	// gathererTimeDivisor is the ratio of a region's processor time to that of its
-	// gatherers. Fewer gatherers observe each upstream more often and have larger shares
-	// of the retry budget.
+	// gathererTimeDivisor is the ratio of a zone's processor time to that of its gatherers.
+	// Fewer gatherers observe each upstream more often and have larger shares of the retry
+	// budget.
 	gathererTimeDivisor = 5
-	// nearlyEqualCores is the ratio of cores from which on two daemons are nearly equal in
-	// size, and the one in a zone with upstreams of shards comes first.
-	nearlyEqualCores = 0.8
 )
 
 // gathererSet is who queries the shards, as derived from the registry cache.
@@ -44,7 +41,6 @@
 	}
 	own := w.regionOf(w.cfg.Zone)
 	set := gathererSet{regional: make(map[almondstep.RegionName][]almondstep.Delegate)}
-	shardZones := w.zonesWithShards()
 	regions := w.daemonsByRegion()
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
 		reachable := w.mayGather(regions[region])
@@ -53,7 +49,7 @@
 			set.count += len(regions[region])
 			continue
 		}
-		chosen := gatherersOfRegion(reachable, w.maxRegionGatherers(len(reachable)), shardZones)
+		chosen := w.gatherersOfRegion(reachable)
 		set.count += len(chosen)
 		switch {
 		case region == own && !slices.ContainsFunc(chosen, w.isSelf):
@@ -77,12 +73,6 @@
 	return all > maxDirectDaemons || w.routes.MinShardConnections()/connectionsPerGatherer < all
 }
 
-// maxRegionGatherers is the maximum number of gatherers in a region with some daemons: its
-// share of those that can each have connectionsPerGatherer connections to each upstream.
-func (w *Watcher) maxRegionGatherers(daemons int) int {
-	return max(minRegionGatherers, w.gatherers()*daemons/w.daemonCount())
-}
-
 // daemonsByRegion lists the daemons of each region that the registry holds, in no order.
 // Only those with an address can be gatherers for others.
 func (w *Watcher) daemonsByRegion() map[almondstep.RegionName][]almondstep.Delegate {
@@ -120,63 +110,45 @@
 
 func (w *Watcher) isSelf(d almondstep.Delegate) bool { return d.ID == w.cfg.Self }
 
-// zonesWithShards is the set of the zones in which upstreams of shards are listed. Drained
-// zones needn't be left out, since their daemons are gatherers only if all others are drained.
-func (w *Watcher) zonesWithShards() map[almondstep.ZoneName]bool {
-	zones := make(map[almondstep.ZoneName]bool)
-	for _, e := range w.listing.entries {
-		if w.routes.IsShard(e.upstream.Service) {
-			zones[e.upstream.Zone] = true
-		}
+// gatherersOfRegion returns the gatherers among the daemons of a region: those of each of its
+// zones. A delegate in the daemon's own zone replies soonest; the others are for when it fails.
+func (w *Watcher) gatherersOfRegion(all []almondstep.Delegate) []almondstep.Delegate {
+	zones := make(map[almondstep.ZoneName][]almondstep.Delegate)
+	for _, d := range all {
+		zones[d.Zone] = append(zones[d.Zone], d)
 	}
-	return zones
+	least := (minRegionGatherers + len(zones) - 1) / len(zones)
+	var chosen []almondstep.Delegate
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		limit := max(least, w.gatherers()*len(zones[zone])/w.daemonCount())
+		chosen = append(chosen, gatherersOfZone(zones[zone], least, limit)...)
+	}
+	return chosen
 }
 
-// gatherersOfRegion returns the gatherers among the daemons of a region: the largest ones,
-// until they hold a fifth of its processor time, at least minRegionGatherers and at most
-// limit. A daemon of unknown size counts as the smallest of known size.
+// gatherersOfZone returns the gatherers among the daemons of a zone: the largest ones, until they
+// hold a fifth of its processor time, at least least and at most limit. A daemon of unknown size
+// counts as the smallest of known size.
 //
 // Example: 13 daemons with 5.2 cores, of which three have 0.8 and four 0.4. Two with 0.8
 // hold 1.6 cores, more than 1.04, and are the gatherers.
-func gatherersOfRegion(all []almondstep.Delegate, limit int, shardZones map[almondstep.ZoneName]bool) []almondstep.Delegate {
-	all = sizeOrder(all, shardZones)
+func gatherersOfZone(all []almondstep.Delegate, least, limit int) []almondstep.Delegate {
+	slices.SortFunc(all, func(a, b almondstep.Delegate) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(ranker.Hash(string(a.ID)), ranker.Hash(string(b.ID))), cmp.Compare(a.ID, b.ID))
+	})
 	unknown := smallestCores(all)
 	total := 0.0
 	for _, d := range all {
 		total += cmp.Or(d.Cores, unknown)
 	}
 	n, held := 0, 0.0
-	for n < len(all) && n < limit && (n < minRegionGatherers || held*gathererTimeDivisor < total) {
+	for n < len(all) && n < limit && (n < least || held*gathererTimeDivisor < total) {
 		held += cmp.Or(all[n].Cores, unknown)
 		n++
 	}
 	return all[:n]
 }
 
-// sizeOrder sorts daemons, the largest first. Among those of nearly equal size, the ones in
-// zones with upstreams of shards come first.
-func sizeOrder(all []almondstep.Delegate, shardZones map[almondstep.ZoneName]bool) []almondstep.Delegate {
-	slices.SortFunc(all, func(a, b almondstep.Delegate) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(ranker.Hash(string(a.ID)), ranker.Hash(string(b.ID))), cmp.Compare(a.ID, b.ID))
-	})
-	sorted := make([]almondstep.Delegate, 0, len(all))
-	for len(sorted) < len(all) {
-		rest := all[len(sorted):]
-		n := 1
-		for n < len(rest) && rest[n].Cores >= nearlyEqualCores*rest[0].Cores {
-			n++
-		}
-		for _, hasShards := range []bool{true, false} {
-			for _, d := range rest[:n] {
-				if shardZones[d.Zone] == hasShards {
-					sorted = append(sorted, d)
-				}
-			}
-		}
-	}
-	return sorted
-}
-
 // smallestCores returns the lowest known number of cores, or 1 if none is known.
 func smallestCores(all []almondstep.Delegate) float64 {
 	lowest := 0.0
