Admit routed requests by what upstreams can take

Cause: under insufficient capacity all requests were sent at once, and the upstreams' queues decided which of them failed, whatever their priority. Change: admitter.Gate lets a request pass, wait or be refused (503, not run, Retry-After); the forwarder asks it where the configuration holds organisations. Hedges and unneeded retries are left out while the service has no free slot. Metrics, log fields and a log line show waits and refusals.

--- /dev/null
+++ b/admitter/observe.go
@@ -0,0 +1,79 @@
+package admitter
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+// Lagged records the time between the arrival of a request and its handling.
+func (g *Gate) Lagged(now almondstep.Instant, lag time.Duration) { g.processor.observe(now, lag) }
+
+// Sent records a call to an upstream.
+func (g *Gate) Sent(now almondstep.Instant, id almondstep.UpstreamID) {
+	if u := g.upstreams[id]; u != nil {
+		u.sent(now)
+		u.mark(now)
+	}
+}
+
+// CallEnded records the end of a call to an upstream. took is its duration without the
+// time on the network.
+func (g *Gate) CallEnded(now almondstep.Instant, id almondstep.UpstreamID, took time.Duration, e *almondstep.CallEnded) {
+	if u := g.upstreams[id]; u != nil {
+		u.ended(now, took, e)
+		u.mark(now)
+	}
+}
+
+// mark sets the lane's loaded if the upstream has a queue above maxQueueWait.
+func (u *upstream) mark(now almondstep.Instant) {
+	if !u.lane.loaded && u.wait(now) > maxQueueWait {
+		u.lane.loaded = true
+	}
+}
+
+// Ended records the end of a request that Offer or Next let run.
+func (g *Gate) Ended(now almondstep.Instant, work int) { g.processor.ended(now, work) }
+
+// RoomForExtra reports whether a service has a free slot for a hedge, or for a retry that
+// the answer doesn't need, beyond what the requests that wait for the service need.
+func (g *Gate) RoomForExtra(now almondstep.Instant, name almondstep.ServiceName, r *almondstep.Route) bool {
+	s := g.services[name]
+	if s == nil || !s.lane.loaded && len(s.lane.waiting) == 0 {
+		return true
+	}
+	if len(s.lane.waiting) > 0 {
+		return false
+	}
+	for _, u := range s.upstreams {
+		if u.usable(now, r) && u.wait(now) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Pressure is a change of whether a service, or the shards that routes have in common, are
+// short of capacity.
+type Pressure struct {
+	// Service is the service, or one of the shards.
+	Service almondstep.ServiceName
+	Short   bool
+}
+
+// Pressure returns whether the lane of a service has become short of capacity, or has
+// ceased to be, since the last call.
+func (g *Gate) Pressure(now almondstep.Instant, name almondstep.ServiceName) (Pressure, bool) {
+	s := g.services[name]
+	if s == nil {
+		return Pressure{}, false
+	}
+	l := s.lane
+	short := len(l.waiting) > 0 || now < l.pressedUntil
+	if short == l.reported {
+		return Pressure{}, false
+	}
+	l.reported = short
+	return Pressure{Service: l.name, Short: short}, true
+}
--- /dev/null
+++ b/admitter/processor.go
@@ -0,0 +1,85 @@
+package admitter
+
+import (
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// maxLag is the time from the arrival of a request to its handling above which the
+	// processor counts as saturated.
+	maxLag = 30 * time.Millisecond
+	// adaptInterval is the shortest time between two changes of the limit.
+	adaptInterval = 100 * time.Millisecond
+	// The limit falls by 1/lagDecrease of the open calls and rises by 1/lagIncrease.
+	lagDecrease = 6
+	lagIncrease = 16
+	// minOpenCalls is the lowest limit, so that a slow processor always has some work.
+	minOpenCalls = 8
+	// The limit ends when it is limitEnd times the open calls.
+	limitEnd = 2
+	// blockAfter is how long the next request in the order may lack capacity of the
+	// processor before smaller ones no longer pass it.
+	blockAfter = 20 * time.Millisecond
+)
+
+// processor limits the calls of the open requests while events are handled late.
+type processor struct {
+	// open is the number of calls that the open requests need.
+	open int
+	// limit is the maximum of open; 0 sets none.
+	limit     int
+	adaptedAt almondstep.Instant
+	// interval is the mean time in which one call's work ended, last updated at endedAt.
+	interval time.Duration
+	endedAt  almondstep.Instant
+}
+
+// observe adapts the limit to the time between a request's arrival and its handling.
+func (p *processor) observe(now almondstep.Instant, lag time.Duration) {
+	if p.limit == 0 && lag <= maxLag || now.Sub(p.adaptedAt) < adaptInterval {
+		return
+	}
+	p.adaptedAt = now
+	if lag > maxLag {
+		used := p.open
+		if p.limit > 0 {
+			used = min(used, p.limit)
+		}
+		p.limit = max(minOpenCalls, used-max(1, used/lagDecrease))
+		return
+	}
+	p.limit += max(1, p.limit/lagIncrease)
+	if p.limit > limitEnd*max(p.open, minOpenCalls) {
+		p.limit = 0
+	}
+}
+
+// has reports whether there is capacity for so many calls more. A request that needs more
+// than the limit runs while half of the limit is unused.
+func (p *processor) has(work int) bool {
+	return p.limit == 0 || p.open+work <= p.limit || limitEnd*p.open <= p.limit
+}
+
+// wait returns the time until there is capacity for so many calls more.
+func (p *processor) wait(work int) time.Duration {
+	if p.has(work) {
+		return 0
+	}
+	over := p.open - max(p.limit/limitEnd, p.limit-work)
+	return time.Duration(max(1, over)) * p.interval
+}
+
+// started counts the calls that a request needs.
+func (p *processor) started(work int) { p.open += work }
+
+// ended subtracts the calls that a request needed.
+func (p *processor) ended(now almondstep.Instant, work int) {
+	p.open = max(0, p.open-work)
+	if p.endedAt != 0 && work > 0 {
+		took := min(maxInterval, now.Sub(p.endedAt)) / time.Duration(work)
+		p.interval += (took - p.interval) / intervalDivisor
+	}
+	p.endedAt = now
+}
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -83,6 +83,7 @@
 	if r.overShards() {
 		if reachable := f.reachable(now, r); !r.covers(reachable) {
 			delete(f.requests, r.id)
+			f.releaseAdmission(now, r)
 			return append(out, refuseUnsent(r, reachable))
 		}
 	}
@@ -148,7 +149,7 @@
 func (f *Forwarder) addShards(r *request) {
 	services := r.route.Shards()
 	if !r.overShards() {
-		services = []almondstep.ServiceName{f.target(r.route)}
+		services = []almondstep.ServiceName{f.serviceOf(r)}
 	}
 	r.shards = make([]shard, len(services))
 	for i, s := range services {
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -43,6 +43,7 @@
 	if backoff := f.picker.Ended(now, c.upstream.ID, e); backoff > 0 {
 		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
 	}
+	f.gate.CallEnded(now, c.upstream.ID, max(0, e.Took-f.picker.PriorRTT(c.upstream)), e)
 	if e.Disconnected {
 		r.addDisconnected(c.upstream.Run())
 	}
@@ -112,7 +113,7 @@
 	if attempts >= r.route.Attempts() || now >= r.deadline || f.suspectsCause(r) {
 		return false
 	}
-	if _, ok := f.fastestUntried(now, r, s, kind); !ok {
+	if _, ok := f.fastestUntried(now, r, s, kind); !ok || f.withholds(now, r, s, kind) {
 		return false
 	}
 	step := s.step(now.Sub(r.arrivedAt), kind)
@@ -194,6 +195,7 @@
 		return out
 	}
 	r.answered = true
+	f.gate.Remove(r.id)
 	for i := range r.shards {
 		out = cancelPending(r, &r.shards[i], 0, out)
 	}
@@ -207,5 +209,6 @@
 		return out
 	}
 	delete(f.requests, r.id)
+	f.releaseAdmission(now, r)
 	return f.recordSilence(now, r, out)
 }
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -113,7 +113,7 @@
 	r.delegated = nil
 	out = f.recordEnded(now, r, "delegate", to, e, out)
 	switch {
-	case e.Reply != nil && refusedForAll(e.Reply.Code):
+	case e.Reply != nil && (refusedForAll(e.Reply.Code) || r.finallyRefused(e.Reply)):
 	case e.HasNotRun():
 		if f.delegate(now, r, &out) {
 			return out
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -15,6 +15,9 @@
 	if now >= r.timerAt {
 		r.timerAt = 0
 	}
+	if r.admission.waiting {
+		return f.checkWaiting(now, r, out)
+	}
 	for i := range r.shards {
 		s := &r.shards[i]
 		if !s.settled && now >= s.hedgeAt {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstep"
+	"almondstep/admitter"
 	"almondstep/budgeter"
 	"almondstep/picker"
 )
@@ -47,6 +48,7 @@
 	leaving   leavingRuns
 	silent    silentUpstreams
 	answered  recentAnswers
+	gate      *admitter.Gate
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -79,6 +81,7 @@
 		calls:     make(map[almondstep.CallID]callRef),
 		rates:     budgeter.RateLimiter{Seed: cfg.Seed},
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
+		gate:      admitter.NewGate(cfg.Seed),
 		region:    cfg.Region,
 
 		silent:      silentUpstreams{renewInterval: cfg.RenewInterval},
@@ -87,8 +90,13 @@
 	}
 }
 
-// Reduce processes one event and appends the resulting effects to out.
+// Reduce processes one event, starts the waiting requests for which there is capacity then,
+// and appends the resulting effects to out.
 func (f *Forwarder) Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	return f.startWaiting(now, f.reduce(now, v, e, out))
+}
+
+func (f *Forwarder) reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
 	f.view = v
 	switch e := e.(type) {
 	case *almondstep.RequestArrived:
@@ -107,6 +115,7 @@
 		if d := v.Directory(); d != nil && d != f.directory {
 			f.directory = d
 			f.picker.UpdateDirectory(d)
+			f.updateGate(d)
 			f.delegates.retain(d)
 			f.rates.Retain(d)
 			f.leaving.retain(now, d)
--- a/forwarder/region.go
+++ b/forwarder/region.go
@@ -31,6 +31,8 @@
 	// any more.
 	merged *almondstep.MergedAnswer
 	ended  bool
+	// refused is set if the regional delegate refused it for lack of capacity.
+	refused bool
 }
 
 // pending returns the number of shards that a regional delegate may still answer.
@@ -173,6 +175,10 @@
 	if r.answered {
 		return f.forget(now, r, out)
 	}
+	if part.refused = refusedForCapacity(e); part.refused {
+		// More calls from here would go to the same upstreams.
+		return f.proceed(now, r, out)
+	}
 	if e.HasNotRun() {
 		f.queryRegionalShards(now, r, &out)
 	} else if e.Reply != nil {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -27,6 +27,7 @@
 	openShards int
 	openCalls  int
 	answered   bool
+	admission  admission
 	// asDelegate reports whether another daemon forwarded the request, so that
 	// this one must query the shards itself.
 	asDelegate bool
@@ -128,7 +129,7 @@
 }
 
 func (r *request) mayHaveRun() bool {
-	if r.regional != nil {
+	if r.regional != nil && !r.regional.refused {
 		return true
 	}
 	for i := range r.shards {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -39,6 +39,7 @@
 	r.openCalls++
 	r.trace.Calls++
 	f.picker.Sent(now, u, id)
+	f.gate.Sent(now, u.ID)
 	*out = append(*out, &almondstep.SendCall{
 		ID:              r.id,
 		Call:            id,
--- a/forwarder/stopping.go
+++ b/forwarder/stopping.go
@@ -47,6 +47,11 @@
 		if r.answered {
 			continue
 		}
+		if r.admission.waiting && f.stopsTooSoon(r) {
+			f.gate.Remove(r.id)
+			out = f.refuseWaiting(now, r, almondstep.CodeStopping, stoppingRetryAfter, out)
+			continue
+		}
 		r.capDeadline(answerBy)
 		out = r.setTimer(now, out)
 	}
--- a/message_request.go
+++ b/message_request.go
@@ -148,6 +148,9 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
+	// Pace is how long work takes on the upstream's machine now, in percent of the usual;
+	// 0 if unknown.
+	Pace int `json:"pace,omitempty"`
 }
 
 // CallEnded is the outcome of a SendCall.
@@ -238,6 +241,15 @@
 	// Limited counts the shards that weren't called because of the limits that their
 	// upstreams state.
 	Limited int `json:"limited,omitempty"`
+	// Priority is that of the request; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+	// Waited is how long the request waited for capacity, and Short what was short: service
+	// or processor; empty if the request didn't wait and wasn't refused for lack of capacity.
+	Waited time.Duration `json:"waited,omitempty"`
+	Short  string        `json:"short,omitempty"`
+	// Withheld counts the hedges and retries that weren't sent because the service had no
+	// capacity to spare.
+	Withheld int `json:"withheld,omitempty"`
 	// Steps are the first few decisions to call another upstream.
 	Steps []RequestStep `json:"steps,omitempty"`
 	// Fingerprint is that of the request if Disconnected or Unanswered isn't empty; 0
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -40,6 +40,8 @@
 	platform  cache[platformKey, *metrics.Counter]
 	routes    cache[almondstep.RouteName, *routeMetrics]
 	replies   cache[replyKey, *metrics.Counter]
+	// admissions has the metrics of requests that waited or were refused for lack of capacity.
+	admissions cache[admissionKey, *admissionMetrics]
 }
 
 type routeMetrics struct {
@@ -51,6 +53,7 @@
 	denied   *metrics.Counter
 	limited  *metrics.Counter
 	broken   *metrics.Counter
+	withheld *metrics.Counter
 }
 
 // replyKey has the labels of the counter of answers to routed requests.
@@ -189,6 +192,8 @@
 	m.denied.Add(t.Denied)
 	m.limited.Add(t.Limited)
 	m.broken.Add(len(t.Disconnected))
+	m.withheld.Add(t.Withheld)
+	r.recordAdmission(reply)
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
 	}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -56,6 +56,9 @@
 	r.Replied("lots", &almondstep.Reply{Outcome: almondstep.OutcomePartial, Trace: almondstep.RequestTrace{
 		Shards: 20, Included: 19, Calls: 21, Hedges: 1, Denied: 1, Took: time.Millisecond,
 	}})
+	r.Replied("lots", &almondstep.Reply{Outcome: almondstep.OutcomeNotRun, Code: almondstep.CodeOverload, Trace: almondstep.RequestTrace{
+		Priority: 2, Short: "service", Waited: time.Millisecond, Withheld: 1,
+	}})
 	r.PlatformCalled("config", almondstep.ErrUnavailable)
 	return r
 }
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -82,6 +82,7 @@
 		denied:   r.set.GetOrCreateCounter(labeled(requestDenied, label...)),
 		limited:  r.set.GetOrCreateCounter(labeled(requestLimited, label...)),
 		broken:   r.set.GetOrCreateCounter(labeled(requestBroken, label...)),
+		withheld: r.set.GetOrCreateCounter(labeled(requestWithheld, label...)),
 	}
 }
 
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -44,6 +44,9 @@
 	requestDenied    = "almondstep_request_denied_calls_total"
 	requestLimited   = "almondstep_request_limited_shards_total"
 	requestBroken    = "almondstep_request_disconnects_total"
+	requestWithheld  = "almondstep_request_withheld_calls_total"
+	admissionWait    = "almondstep_admission_wait_seconds"
+	admissionRefused = "almondstep_admission_refusals_total"
 	linesDropped     = "almondstep_log_lines_dropped_total"
 	revision         = "almondstep_revision"
 	ready            = "almondstep_ready"
@@ -100,6 +103,21 @@
 			"Upstreams that ended the connection while they had a routed request, at most 8 a request.",
 			"The log lines of these requests have a fingerprint. The same one in many lines: find out why the request crashes upstreams.",
 		},
+		{
+			requestWithheld, Counter, "calls", "route",
+			"Hedges and unneeded retries left out because the service had no capacity to spare, each time that one was due.",
+			"Above 0: the service is short of capacity. See almondstep_admission_refusals_total.",
+		},
+		{
+			admissionWait, Histogram, "seconds", "class, short",
+			"Time that a request waited for capacity, by priority (0 is the highest) and by what was short: service or processor.",
+			"Near a quarter of the latency target: capacity is used up. processor: the daemon's VM is too small for its share of the requests.",
+		},
+		{
+			admissionRefused, Counter, "requests", "class, short",
+			"Requests refused for lack of capacity, by priority and by what was short.",
+			"Refusals of class 0: add capacity. The log says which service (\"requests wait for capacity or are refused\").",
+		},
 	}
 }
 
