--- a/admitter/expect.go
+++ b/admitter/expect.go
@@ -9,9 +9,9 @@
 const (
 	// minSpread is the minimum range of the random part of a Retry-After.
 	minSpread = 50 * time.Millisecond
-	// refuseEarly is the part of the latency target within which a request that isn't
-	// expected to start in time is refused.
-	refuseEarly = 4
+	// 1/maxWaitPart of the latency target is the longest wait. Waits of up to the latest
+	// start in time gave callers less (docs/design/admission.md).
+	maxWaitPart = 4
 	// A request is expected to take serviceTimesOne/2 service times if it is for one
 	// service, and serviceTimesShards/2 if it is over shards, of which the slowest counts.
 	serviceTimesOne    = 3
@@ -19,17 +19,19 @@
 )
 
 // setStarts sets when a request must start: to be answered while the answer has its full
-// value, or by its deadline if it takes longer than that in any case.
+// value, or by its deadline if it takes longer than that in any case. It waits for a part of
+// that time only, so that its caller has time for another try.
 func (e *entry) setStarts() {
 	takes := e.lane.serviceTime * serviceTimesOne / 2
 	if len(e.Route.Shards()) > 0 {
 		takes = e.lane.serviceTime * serviceTimesShards / 2
 	}
 	e.lastStart = max(e.ArrivedAt, e.Deadline.Add(-takes))
-	e.latestStart = e.lastStart
+	end := e.Deadline
 	if e.ArrivedAt.Add(takes) <= e.AnswerBy {
-		e.latestStart = e.AnswerBy.Add(-takes)
+		end = e.AnswerBy
 	}
+	e.latestStart = min(end.Add(-takes), e.ArrivedAt.Add(e.span()/maxWaitPart))
 }
 
 // expect returns whether a request can be expected to start in time. If it has capacity
@@ -51,19 +53,10 @@
 		v.RetryAfter = g.spread(turn)
 		return v
 	}
-	if early := e.refuseFrom(); now < early {
-		v.CheckAt = min(v.CheckAt, early)
-	}
 	v.CheckAt = min(v.CheckAt, max(e.latestStart, now.Add(minCheck)))
 	return v
 }
 
-// refuseFrom returns from when on a waiting request is refused if it isn't expected to
-// start in time, so that its caller has time for another try.
-func (e *entry) refuseFrom() almondstep.Instant {
-	return e.ArrivedAt.Add(e.AnswerBy.Sub(e.ArrivedAt) / refuseEarly)
-}
-
 // processorInterval returns the time in which the processor ends so many calls, if it is
 // short of capacity; otherwise 0.
 func (g *Gate) processorInterval(work int) time.Duration {
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -186,9 +186,9 @@
 		return Verdict{}
 	}
 	v := g.expect(now, e, g.outlook(now, &e.Ask))
-	if early := e.refuseFrom(); v.Decision == Refuse && now < early && now < e.latestStart {
+	if v.Decision == Refuse && now < e.latestStart {
 		// A request before it may still be refused or leave.
-		return Verdict{Decision: Wait, Cause: v.Cause, CheckAt: early}
+		return Verdict{Decision: Wait, Cause: v.Cause, CheckAt: e.latestStart}
 	}
 	if v.Decision == Refuse {
 		e.lane.pressedUntil = now.Add(pressureMemory)
--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -128,7 +128,7 @@
 func (a *Ask) needsLike(b *Ask) bool {
 	return a.Local == b.Local && a.Service == b.Service &&
 		len(a.Route.Shards()) == len(b.Route.Shards()) &&
-		a.Route.MinCoverage() == b.Route.MinCoverage() &&
+		a.span() == b.span() && a.Route.MinCoverage() == b.Route.MinCoverage() &&
 		slices.Equal(a.Route.Spec().Regions, b.Route.Spec().Regions)
 }
 
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -24,26 +24,37 @@
 	interval time.Duration
 }
 
-// outlook returns the service's capacity for a route. A service without a usable upstream
-// isn't short of capacity: waiting wouldn't help.
-func (s *service) outlook(now almondstep.Instant, r *almondstep.Route) outlook {
+// outlook returns the service's capacity for a request. Upstreams that would take longer
+// than the request has are left out if there are others. A service without a usable
+// upstream isn't short of capacity: waiting wouldn't help.
+func (s *service) outlook(now almondstep.Instant, a *Ask) outlook {
+	if o, ok := s.outlookWithin(now, a, a.span()); ok {
+		return o
+	}
+	o, _ := s.outlookWithin(now, a, math.MaxInt64)
+	return o
+}
+
+// outlookWithin returns the capacity of the upstreams that take no longer than span, and
+// whether there are any.
+func (s *service) outlookWithin(now almondstep.Instant, a *Ask, span time.Duration) (outlook, bool) {
 	least := time.Duration(math.MaxInt64)
 	perSecond := 0.0
 	for _, u := range s.upstreams {
-		if !u.usable(now, r) {
+		if !u.usable(now, a.Route) || u.expected(now)*serviceTimesOne/2 > span {
 			continue
 		}
 		least = min(least, u.wait(now))
 		perSecond += 1 / max(time.Microsecond, u.interval(now)).Seconds()
 	}
 	if perSecond == 0 {
-		return outlook{}
+		return outlook{}, false
 	}
 	o := outlook{interval: time.Duration(float64(time.Second) / perSecond)}
 	if least > maxQueueWait {
 		o.wait = least - maxQueueWait
 	}
-	return o
+	return o, true
 }
 
 // outlook returns the capacity for a request: that of its service, or that of as many
@@ -55,7 +66,7 @@
 	shards := a.Route.Shards()
 	if len(shards) == 0 {
 		if s := g.services[a.Service]; s != nil {
-			return s.outlook(now, a.Route)
+			return s.outlook(now, a)
 		}
 		return outlook{}
 	}
@@ -66,7 +77,7 @@
 	for _, name := range shards {
 		var o outlook
 		if s := g.services[name]; s != nil {
-			o = s.outlook(now, a.Route)
+			o = s.outlook(now, a)
 		}
 		if o.wait > 0 {
 			short++
--- a/admitter/verdict.go
+++ b/admitter/verdict.go
@@ -26,6 +26,10 @@
 	Deadline  almondstep.Instant
 }
 
+// span returns the time from the arrival of the request to the last instant at which an
+// answer has its full value.
+func (a *Ask) span() time.Duration { return a.AnswerBy.Sub(a.ArrivedAt) }
+
 // Decision is what happens to a request. The zero value is Pass.
 type Decision uint8
 
