--- /dev/null
+++ b/admitter/gate_test.go
@@ -0,0 +1,117 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"almondstep"
+	"almondstep/admitter"
+)
+
+// ask returns a request over all shards, or for the only service, that arrives now.
+func ask(id almondstep.QueryID, r *almondstep.Route, now almondstep.Instant) admitter.Ask {
+	return admitter.Ask{
+		ID: id, Route: r, Service: "s0", Local: true, Priority: r.Priority(), Work: max(1, len(r.Shards())),
+		ArrivedAt: now, AnswerBy: now.Add(target), Deadline: now.Add(deadline),
+	}
+}
+
+// Admission with free capacity allocates nothing, also for many shards. It is the normal case
+// on VMs with a fifth of a core.
+func TestFreeCapacityCostsNoAllocation(t *testing.T) {
+	counts := make([]int, 225)
+	for i := range counts {
+		counts[i] = 3
+	}
+	d, routes := directory(t, counts...)
+	g := admitter.NewGate(1)
+	g.UpdateDirectory(d)
+	now := almondstep.Instant(time.Second)
+	a := ask(1, routes[0], now)
+	got := testing.AllocsPerRun(100, func() {
+		if v := g.Offer(now, a); v.Decision != admitter.Pass {
+			t.Fatalf("got decision %d, want pass", v.Decision)
+		}
+		g.Ended(now, a.Work)
+	})
+	if want := 0.0; got != want {
+		t.Errorf("got %v allocations, want %v", got, want)
+	}
+}
+
+// fill makes all upstreams of the service report a queue.
+func fill(g *admitter.Gate, d *almondstep.Directory, now almondstep.Instant, waiting int, took time.Duration) {
+	for _, u := range d.Upstreams("s0") {
+		g.Sent(now, u.ID)
+		g.CallEnded(now, u.ID, took, &almondstep.CallEnded{
+			Response: &almondstep.ResponseMessage{}, Load: &almondstep.UpstreamLoad{Running: 2, Waiting: waiting, Slots: 2},
+		})
+	}
+}
+
+// A request that the upstreams' queues leave no time for is refused at once, and its
+// Retry-After is at least the time until there is capacity. Those of many differ, so
+// that their clients don't return together.
+func TestRefusalSaysWhenToRetry(t *testing.T) {
+	d, routes := directory(t, 3)
+	g := admitter.NewGate(1)
+	g.UpdateDirectory(d)
+	now := almondstep.Instant(time.Second)
+	fill(g, d, now, 60, 300*time.Millisecond)
+	seen := map[time.Duration]bool{}
+	for id := range almondstep.QueryID(20) {
+		v := g.Offer(now, ask(id+1, routes[1], now))
+		if v.Decision != admitter.Refuse {
+			t.Fatalf("got decision %d, want a refusal", v.Decision)
+		}
+		if least, most := 200*time.Millisecond, 700*time.Millisecond; v.RetryAfter < least || v.RetryAfter > most {
+			t.Errorf("got Retry-After %v, want %v to %v", v.RetryAfter, least, most)
+		}
+		seen[v.RetryAfter] = true
+	}
+	if got, least := len(seen), 15; got < least {
+		t.Errorf("got %d different Retry-After, want at least %d", got, least)
+	}
+	if g.RoomForExtra(now, "s0", routes[1]) {
+		t.Error("got room for a hedge beside full upstreams, want none")
+	}
+	later := now.Add(time.Second)
+	if v := g.Offer(later, ask(99, routes[1], later)); v.Decision != admitter.Pass {
+		t.Errorf("got decision %d without news for a second, want the request to pass", v.Decision)
+	}
+}
+
+// The most urgent waiting request runs first, whenever it arrived, and a full queue
+// displaces the least urgent.
+func TestUrgentRunFirstAndLeastUrgentAreDisplaced(t *testing.T) {
+	d, routes := directory(t, 30)
+	g := admitter.NewGate(1)
+	g.UpdateDirectory(d)
+	now := almondstep.Instant(time.Second)
+	fill(g, d, now, 20, 20*time.Millisecond)
+	displaced := almondstep.QueryID(0)
+	id := almondstep.QueryID(0)
+	for range 400 {
+		id++
+		// Only the next in the order is certain to be in time, so that each is more urgent
+		// in its deadline than those before.
+		a := ask(id, routes[2], now)
+		a.ArrivedAt, a.AnswerBy = a.ArrivedAt.Add(-time.Duration(id)*time.Microsecond), a.AnswerBy.Add(-time.Duration(id)*time.Microsecond)
+		if v := g.Offer(now, a); v.Displaced != 0 {
+			displaced = v.Displaced
+		}
+	}
+	if got, most := g.Waiting(), 256; got > most {
+		t.Errorf("got %d waiting, want at most %d", got, most)
+	}
+	if displaced == 0 {
+		t.Error("got no request displaced from a full queue")
+	}
+	urgent := id + 1
+	if v := g.Offer(now, ask(urgent, routes[0], now)); v.Decision != admitter.Wait {
+		t.Fatalf("got decision %d, want the urgent request to wait", v.Decision)
+	}
+	if got, ok := g.Next(now.Add(time.Second)); !ok || got != urgent {
+		t.Errorf("got request %d started first, want %d", got, urgent)
+	}
+}
--- a/admitter/loads_test.go
+++ b/admitter/loads_test.go
@@ -76,6 +76,16 @@
 			}
 		},
 	},
+	"burst of the least urgent, load not reported": {
+		upstreams: []int{3}, duration: 5 * time.Second, from: time.Second, to: 4 * time.Second, minGain: 3, minClass0: 0.9,
+		offer: func(w *world, r [3]*almondstep.Route, elapsed time.Duration) {
+			w.silent = true
+			w.arrivals(r[0], "a", 0.3*capacity)
+			if elapsed > time.Second && elapsed < 4*time.Second {
+				w.arrivals(r[2], "c", 2*capacity)
+			}
+		},
+	},
 	"all VMs back after a power loss": {
 		upstreams: []int{3}, duration: 5 * time.Second, minGain: 2, minClass0: 0.6,
 		offer: func(w *world, r [3]*almondstep.Route, elapsed time.Duration) {
--- a/admitter/simulation_test.go
+++ b/admitter/simulation_test.go
@@ -70,6 +70,8 @@
 	services map[almondstep.ServiceName][]*server
 	order    []*server
 	gates    []*admitter.Gate
+	// silent is set if the upstreams don't report their load.
+	silent   bool
 	known    []map[*server]*observed
 	callers  map[almondstep.QueryID]*caller
 	all      []*caller
@@ -296,10 +298,11 @@
 	k.inFlight--
 	k.latency += (took - k.latency) / 4
 	if w.gates != nil {
-		w.gates[call.daemon].CallEnded(w.now, sv.upstream.ID, took, &almondstep.CallEnded{
-			Result: result, Took: took, Response: &almondstep.ResponseMessage{},
-			Load: &almondstep.UpstreamLoad{Running: len(sv.running), Waiting: len(sv.queue), Slots: sv.upstream.Slots},
-		})
+		e := &almondstep.CallEnded{Result: result, Took: took, Response: &almondstep.ResponseMessage{}}
+		if !w.silent {
+			e.Load = &almondstep.UpstreamLoad{Running: len(sv.running), Waiting: len(sv.queue), Slots: sv.upstream.Slots}
+		}
+		w.gates[call.daemon].CallEnded(w.now, sv.upstream.ID, took, e)
 	}
 	c.failed = c.failed || result != almondstep.CallDone
 	c.pending--
