Learn an upstream's service time faster; keep a lane loaded for a second

A request that its minimum coverage let pass marked its lane as free, so that the next one, which needs the full shard too, passed unexamined. With a weight of 1/8, an upstream that had become 12 times slower counted as capacity for a second, and urgent requests were refused behind it. Change: a lane counts as loaded for a second after an upstream was last seen with a queue; own service times have the weight 1/4; the expected duration is that of the fastest upstream rather than the mean of the lane. The lag of the processor is observed on arrival, so that a wait for a quota isn't taken for it.

--- a/admitter/expect.go
+++ b/admitter/expect.go
@@ -19,19 +19,20 @@
 )
 
 // setStarts sets when a request must start: to be answered while the answer has its full
-// value, or by its deadline if it takes longer than that in any case. It waits for a part of
+// value, or by its deadline if it takes longer than that in any case. takes is the time of a
+// call to the fastest upstream. The request waits for a part of
 // that time only, so that its caller has time for another try.
-func (e *entry) setStarts() {
-	takes := e.lane.serviceTime * serviceTimesOne / 2
+func (e *entry) setStarts(takes time.Duration) {
+	wanted := takes * serviceTimesOne / 2
 	if len(e.Route.Shards()) > 0 {
-		takes = e.lane.serviceTime * serviceTimesShards / 2
+		wanted = takes * serviceTimesShards / 2
 	}
-	e.lastStart = max(e.ArrivedAt, e.Deadline.Add(-takes))
+	e.lastStart = max(e.ArrivedAt, e.Deadline.Add(-wanted))
 	end := e.Deadline
-	if e.ArrivedAt.Add(takes) <= e.AnswerBy {
+	if e.ArrivedAt.Add(wanted) <= e.AnswerBy {
 		end = e.AnswerBy
 	}
-	e.latestStart = min(end.Add(-takes), e.ArrivedAt.Add(e.span()/maxWaitPart))
+	e.latestStart = min(end.Add(-wanted), e.ArrivedAt.Add(e.span()/maxWaitPart))
 }
 
 // expect returns whether a request can be expected to start in time. If it has capacity
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -52,14 +52,13 @@
 	l := g.laneOf(&a)
 	queued := len(l.waiting) > 0 || g.processor.limit > 0 && len(g.entries) > 0
 	pressed := queued || now < l.pressedUntil
-	if !pressed && g.processor.has(a.Work) && (!a.Local || !l.loaded) {
+	if !pressed && g.processor.has(a.Work) && (!a.Local || now >= l.loadedUntil) {
 		g.processor.started(a.Work)
 		return Verdict{}
 	}
 	o := g.outlook(now, &a)
 	blocked := g.processor.wait(a.Work)
 	if !pressed && o.wait == 0 && blocked == 0 {
-		l.loaded = false
 		g.processor.started(a.Work)
 		return Verdict{}
 	}
@@ -72,7 +71,7 @@
 	l.pressedUntil = now.Add(pressureMemory)
 	g.sequence++
 	e := &entry{Ask: a, lane: l, sequence: g.sequence}
-	e.setStarts()
+	e.setStarts(o.takes)
 	v := g.expect(now, e, o)
 	if v.Decision == Refuse {
 		return v
--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -10,7 +10,8 @@
 
 const (
 	// pressureMemory is how long a lane counts as short of capacity after a request last
-	// had to wait or was refused. Shares are counted in this time only.
+	// had to wait or was refused, and as loaded after an upstream was last seen with a
+	// queue. Shares are counted in this time only.
 	pressureMemory = time.Second
 	// A measured interval between starts has the weight 1/intervalDivisor in the mean.
 	intervalDivisor = 8
@@ -23,9 +24,9 @@
 	name    almondstep.ServiceName
 	waiting []*entry
 	shares  shares
-	// loaded is set if an upstream was seen with a queue above maxQueueWait, until all
-	// services of a request have capacity again.
-	loaded bool
+	// loadedUntil is the end of the time in which upstreams may have a queue above
+	// maxQueueWait, as one was seen with it.
+	loadedUntil almondstep.Instant
 	// pressedUntil is the end of the time in which the lane counts as short of capacity.
 	pressedUntil almondstep.Instant
 	reported     bool
@@ -66,7 +67,7 @@
 		l.observed, l.serviceTime = true, took
 		return
 	}
-	l.serviceTime += (took - l.serviceTime) / serviceTimeDivisor
+	l.serviceTime += (took - l.serviceTime) / laneTimeDivisor
 }
 
 // compare orders requests whatever their lanes and shares: the highest priority first, then
--- a/admitter/observe.go
+++ b/admitter/observe.go
@@ -26,10 +26,10 @@
 	}
 }
 
-// mark sets the lane's loaded if the upstream has a queue above maxQueueWait.
+// mark records that the lane is loaded if the upstream has a queue above maxQueueWait.
 func (u *upstream) mark(now almondstep.Instant) {
-	if !u.lane.loaded && u.wait(now) > maxQueueWait {
-		u.lane.loaded = true
+	if u.wait(now) > maxQueueWait {
+		u.lane.loadedUntil = now.Add(pressureMemory)
 	}
 }
 
@@ -40,7 +40,7 @@
 // the answer doesn't need, beyond what the requests that wait for the service need.
 func (g *Gate) RoomForExtra(now almondstep.Instant, name almondstep.ServiceName, r *almondstep.Route) bool {
 	s := g.services[name]
-	if s == nil || !s.lane.loaded && len(s.lane.waiting) == 0 {
+	if s == nil || now >= s.lane.loadedUntil && len(s.lane.waiting) == 0 {
 		return true
 	}
 	if len(s.lane.waiting) > 0 {
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -22,6 +22,8 @@
 	// interval is the time from the start of a request to that of the next while there is
 	// none.
 	interval time.Duration
+	// takes is the service time of the fastest upstream; 0 if unknown.
+	takes time.Duration
 }
 
 // outlook returns the service's capacity for a request. Upstreams that would take longer
@@ -38,19 +40,19 @@
 // outlookWithin returns the capacity of the upstreams that take no longer than span, and
 // whether there are any.
 func (s *service) outlookWithin(now almondstep.Instant, a *Ask, span time.Duration) (outlook, bool) {
-	least := time.Duration(math.MaxInt64)
+	least, fastest := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	perSecond := 0.0
 	for _, u := range s.upstreams {
 		if !u.usable(now, a.Route) || u.expected(now)*serviceTimesOne/2 > span {
 			continue
 		}
-		least = min(least, u.wait(now))
+		least, fastest = min(least, u.wait(now)), min(fastest, u.expected(now))
 		perSecond += 1 / max(time.Microsecond, u.interval(now)).Seconds()
 	}
 	if perSecond == 0 {
 		return outlook{}, false
 	}
-	o := outlook{interval: time.Duration(float64(time.Second) / perSecond)}
+	o := outlook{interval: time.Duration(float64(time.Second) / perSecond), takes: fastest}
 	if least > maxQueueWait {
 		o.wait = least - maxQueueWait
 	}
@@ -85,7 +87,7 @@
 		g.scratch = append(g.scratch, o)
 	}
 	if short <= spare {
-		return outlook{interval: g.scratch[0].interval}
+		return outlook{interval: g.scratch[0].interval, takes: g.scratch[0].takes}
 	}
 	slices.SortFunc(g.scratch, func(a, b outlook) int {
 		return cmp.Or(cmp.Compare(b.wait, a.wait), cmp.Compare(b.interval, a.interval))
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -18,8 +18,11 @@
 	// serviceTimeMaxAge is how long an upstream's own service time is used without a new
 	// observation; then that of its lane is used.
 	serviceTimeMaxAge = 2 * time.Second
-	// A service time has the weight 1/serviceTimeDivisor in the mean.
-	serviceTimeDivisor = 8
+	// A service time has the weight 1/serviceTimeDivisor in the mean of its upstream and
+	// 1/laneTimeDivisor in that of its lane. A daemon calls an upstream rarely: with 1/8, one
+	// that had become slow counted as capacity for a second.
+	serviceTimeDivisor = 4
+	laneTimeDivisor    = 8
 	// stallFactor times the service time, and at least minStall, without an answer mark an
 	// upstream with calls in flight as paused.
 	stallFactor = 5
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -36,7 +36,6 @@
 	if !r.directory.Routes().HasOrganisations() {
 		return f.dispatch(now, r, out)
 	}
-	f.gate.Lagged(now, now.Sub(r.arrivedAt))
 	r.trace.Priority = r.route.Priority()
 	ask := f.ask(r)
 	r.admission.work = ask.Work
@@ -59,6 +58,14 @@
 	}
 }
 
+// observeLag records how long after its arrival the request is handled. A processor that is
+// short of capacity handles events late.
+func (f *Forwarder) observeLag(now almondstep.Instant, r *request) {
+	if r.directory.Routes().HasOrganisations() {
+		f.gate.Lagged(now, now.Sub(r.arrivedAt))
+	}
+}
+
 // ask returns the description of the request for admission.
 func (f *Forwarder) ask(r *request) admitter.Ask {
 	a := admitter.Ask{
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -40,6 +40,7 @@
 		return append(out, f.refuseQuarantined(r))
 	}
 	r.setDeadlines(cmp.Or(e.At, now), e.Remaining)
+	f.observeLag(now, r)
 	if now >= r.deadline {
 		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
 	}
