--- a/admitter/doc.go
+++ b/admitter/doc.go
@@ -1,7 +1,13 @@
-// Package admitter decides whether a query is admitted, before any work is done
-// for it.
+// Package admitter decides whether a query or a routed request is admitted, before any
+// work is done for it. Admitter is for queries, Gate for routed requests.
 //
-// It is a separate package so that a refusal is certain to mean that nothing has
+// A Gate knows of each upstream the calls in flight, the queue that it reported or that is
+// inferred from sheds and latencies, and its service time. A request passes while an upstream
+// of its service, or of as many shards as its answer needs, would start a call within 10 ms.
+// Otherwise it waits for a quarter of its latency target at most, if it is expected to start
+// by then, or is refused at once. While events are handled late, open calls are limited too.
+//
+// The rest of this text is about Admitter. It is a separate package so that a refusal is certain to mean that nothing has
 // run: all inputs of the decision are known on arrival, before any work begins.
 // There is no queue at the entry daemon; requests are queued at the owners, by
 // class, tenant and deadline.
