Decide again on requests that no delegate takes; log a saturated processor

Cause: a request that all delegates had refused as not run went to the shards without a decision of this daemon; a limit on open calls showed only in refusals.

--- a/admitter/observe.go
+++ b/admitter/observe.go
@@ -77,3 +77,15 @@
 	l.reported = short
 	return Pressure{Service: l.name, Short: short}, true
 }
+
+// ProcessorLimit returns the maximum number of open calls that is in effect because events
+// are handled late, 0 if none is, and whether one has come into effect, or ceased to be in
+// effect, since the last call.
+func (g *Gate) ProcessorLimit() (limit int, changed bool) {
+	p := &g.processor
+	if (p.limit > 0) == p.reported {
+		return p.limit, false
+	}
+	p.reported = p.limit > 0
+	return p.limit, true
+}
--- a/admitter/processor.go
+++ b/admitter/processor.go
@@ -31,6 +31,8 @@
 	// limit is the maximum of open; 0 sets none.
 	limit     int
 	adaptedAt almondstep.Instant
+	// reported is whether a limit was in effect when it was last reported.
+	reported bool
 	// interval is the mean time in which one call's work ended, last updated at endedAt.
 	interval time.Duration
 	endedAt  almondstep.Instant
--- a/admitter/simulation_test.go
+++ b/admitter/simulation_test.go
@@ -23,9 +23,8 @@
 type server struct {
 	*almondstep.Upstream
 	queue, running []*callModel
-	// factor multiplies the service time.
-	factor int
-	// inFlight and latency are what each daemon knows for choosing a server.
+	// factor multiplies the service time. inFlight and latency are what each daemon knows.
+	factor   int
 	inFlight [daemons]int
 	latency  [daemons]time.Duration
 }
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"strconv"
 	"time"
 
 	"almondstep"
@@ -24,6 +25,8 @@
 	// work is the work that was asked for; admitted is set once the request may run.
 	work     int
 	admitted bool
+	// local is set if no delegate is left that might take the request.
+	local bool
 	// service is the service of a request that isn't over shards, once it is chosen.
 	service almondstep.ServiceName
 	// short is what the request lacks or lacked.
@@ -58,6 +61,14 @@
 	}
 }
 
+// admitLocally decides anew on a request that no delegate has taken, since this daemon calls
+// the shards now.
+func (f *Forwarder) admitLocally(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
+	f.releaseAdmission(now, r)
+	r.admission.local = true
+	return f.admit(now, r, out)
+}
+
 // observeLag records how long after its arrival the request is handled. A processor that is
 // short of capacity handles events late.
 func (f *Forwarder) observeLag(now almondstep.Instant, r *request) {
@@ -72,7 +83,7 @@
 		ID:           r.id,
 		Route:        r.route,
 		Service:      f.serviceOf(r),
-		Local:        !f.mayDelegate(r),
+		Local:        r.admission.local || !f.mayDelegate(r),
 		Priority:     r.route.Priority(),
 		Organisation: r.message.Organisation,
 		Work:         max(1, len(r.route.Shards())),
@@ -121,7 +132,7 @@
 // endWait records the end of the request's wait in its trace.
 func (r *request) endWait(now almondstep.Instant) {
 	r.admission.waiting = false
-	r.trace.Waited = now.Sub(r.admission.since)
+	r.trace.Waited += now.Sub(r.admission.since)
 	r.trace.Short = string(r.admission.short)
 }
 
@@ -194,17 +205,25 @@
 	return true
 }
 
-// reportPressure logs when a service becomes short of capacity, or ceases to be.
+// reportPressure logs when a service or the processor becomes short of capacity, or ceases
+// to be.
 func (f *Forwarder) reportPressure(now almondstep.Instant, service almondstep.ServiceName, out []almondstep.Effect) []almondstep.Effect {
-	p, changed := f.gate.Pressure(now, service)
-	if !changed {
-		return out
+	if p, changed := f.gate.Pressure(now, service); changed {
+		message := "requests no longer wait for capacity"
+		if p.Short {
+			message = "requests wait for capacity or are refused"
+		}
+		out = append(out, &almondstep.Report{Level: almondstep.ReportInfo, Message: message, Subject: string(p.Service)})
 	}
-	message := "requests no longer wait for capacity"
-	if p.Short {
-		message = "requests wait for capacity or are refused"
+	if limit, changed := f.gate.ProcessorLimit(); changed {
+		message, cause := "the processor is no longer saturated", ""
+		if limit > 0 {
+			message = "the processor is saturated; open calls are limited"
+			cause = "requests are handled late; at most " + strconv.Itoa(limit) + " open calls"
+		}
+		out = append(out, &almondstep.Report{Level: almondstep.ReportWarn, Message: message, Cause: cause})
 	}
-	return append(out, &almondstep.Report{Level: almondstep.ReportInfo, Message: message, Subject: string(p.Service)})
+	return out
 }
 
 // finallyRefused reports whether the caller gets a delegate's refusal for lack of capacity.
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -118,7 +118,7 @@
 		if f.delegate(now, r, &out) {
 			return out
 		}
-		return f.sendAll(now, r, out)
+		return f.admitLocally(now, r, out)
 	case e.Reply == nil:
 		reply := &almondstep.Reply{Outcome: almondstep.OutcomeUnknown, Code: almondstep.CodeFailed, Trace: r.trace}
 		reply.Trace.Took = now.Sub(r.arrivedAt)
