Limit a busy daemon's calls only after two late events; visit many shards less often

Cause: one late event, as on a VM that gets a fifth of a core, limited the open calls; with a queue, all shards of a request were visited at the end of each call; a lane whose first request lacked the processor only was visited as if its shards were short. Change: a limit needs two late events within a second, or one within 10 s of a limit; lanes over more than 8 shards are visited once in 3 ms; the processor is checked before the shards.

--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -14,8 +14,9 @@
 	// minCheck is the shortest time until a waiting request is checked again.
 	minCheck = time.Millisecond
 	// manyShards is the number of shards above which the capacity for waiting requests is
-	// determined once each minCheck, rather than at the end of each call.
-	manyShards = 8
+	// determined once each visitInterval, rather than at the end of each call.
+	manyShards    = 8
+	visitInterval = 3 * time.Millisecond
 )
 
 // Gate decides for routed requests when they run, wait or are refused for lack of capacity.
@@ -139,28 +140,31 @@
 // reports whether one has lacked capacity of the processor only for so long that none may
 // pass it.
 func (g *Gate) startable(now almondstep.Instant, l *lane) (first *entry, blocked bool) {
-	if l.visitedAt != 0 && now.Sub(l.visitedAt) < minCheck && len(l.waiting[0].Route.Shards()) > manyShards {
+	if l.visitedAt != 0 && now.Sub(l.visitedAt) < visitInterval && len(l.waiting[0].Route.Shards()) > manyShards {
 		return nil, false
 	}
 	slices.SortFunc(l.waiting, l.order)
 	var short *Ask
 	for _, e := range l.waiting {
-		if short != nil && short.needsLike(&e.Ask) {
-			continue
+		fits := g.processor.has(e.Work)
+		if !fits {
+			e.blockedAt = cmp.Or(e.blockedAt, now)
 		}
-		if g.outlook(now, &e.Ask).wait > 0 {
-			short = &e.Ask
+		if !fits && now.Sub(e.blockedAt) <= blockAfter || short != nil && short.needsLike(&e.Ask) {
 			continue
 		}
-		if g.processor.has(e.Work) {
+		switch {
+		case g.outlook(now, &e.Ask).wait > 0:
+			short = &e.Ask
+		case fits:
 			return e, false
-		}
-		e.blockedAt = cmp.Or(e.blockedAt, now)
-		if now.Sub(e.blockedAt) > blockAfter {
+		default:
 			return nil, true
 		}
 	}
-	l.visitedAt = now
+	if short != nil {
+		l.visitedAt = now
+	}
 	return nil, false
 }
 
--- a/admitter/processor.go
+++ b/admitter/processor.go
@@ -10,6 +10,13 @@
 	// maxLag is the time from the arrival of a request to its handling above which the
 	// processor counts as saturated.
 	maxLag = 30 * time.Millisecond
+	// lateMemory is the time within which events must be handled late twice, at least
+	// adaptInterval apart, before calls are limited. A VM with a part of a core stands still for
+	// tens of milliseconds also when it isn't saturated.
+	lateMemory = time.Second
+	// limitMemory is the time after the end of a limit within which the first late event sets
+	// it again.
+	limitMemory = 10 * time.Second
 	// adaptInterval is the shortest time between two changes of the limit.
 	adaptInterval = 100 * time.Millisecond
 	// The limit falls by 1/lagDecrease of the open calls and rises by 1/lagIncrease.
@@ -31,6 +38,10 @@
 	// limit is the maximum of open; 0 sets none.
 	limit     int
 	adaptedAt almondstep.Instant
+	// lateAt is when events were last seen to be handled late, and limitedAt when the limit
+	// last rose or ended; 0 if never.
+	lateAt    almondstep.Instant
+	limitedAt almondstep.Instant
 	// reported is whether a limit was in effect when it was last reported.
 	reported bool
 	// interval is the mean time in which one call's work ended, last updated at endedAt.
@@ -45,6 +56,10 @@
 	}
 	p.adaptedAt = now
 	if lag > maxLag {
+		again := within(now, p.lateAt, lateMemory) || within(now, p.limitedAt, limitMemory)
+		if p.lateAt = now; p.limit == 0 && !again {
+			return
+		}
 		used := p.open
 		if p.limit > 0 {
 			used = min(used, p.limit)
@@ -52,12 +67,16 @@
 		p.limit = max(minOpenCalls, used-max(1, used/lagDecrease))
 		return
 	}
+	p.limitedAt = now
 	p.limit += max(1, p.limit/lagIncrease)
 	if p.limit > limitEnd*max(p.open, minOpenCalls) {
 		p.limit = 0
 	}
 }
 
+// within reports whether an event was less than d ago; at is 0 if it never happened.
+func within(now, at almondstep.Instant, d time.Duration) bool { return at != 0 && now.Sub(at) <= d }
+
 // has reports whether there is capacity for so many calls more. A request that needs more
 // than the limit runs while half of the limit is unused.
 func (p *processor) has(work int) bool {
