--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -40,6 +40,7 @@
 		return append(out, f.refuseQuarantined(r))
 	}
 	r.setDeadlines(cmp.Or(e.At, now), e.Remaining)
+	f.observeLag(now, r)
 	if now >= r.deadline {
 		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
 	}
@@ -83,6 +84,7 @@
 	if r.overShards() {
 		if reachable := f.reachable(now, r); !r.covers(reachable) {
 			delete(f.requests, r.id)
+			f.releaseAdmission(now, r)
 			return r.returnQuota(append(out, refuseUnsent(r, reachable)))
 		}
 	}
@@ -149,7 +151,7 @@
 func (f *Forwarder) addShards(r *request) {
 	services := r.route.Shards()
 	if !r.overShards() {
-		services = []almondstep.ServiceName{f.target(r.route)}
+		services = []almondstep.ServiceName{f.serviceOf(r)}
 	}
 	r.shards = make([]shard, len(services))
 	for i, s := range services {
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -134,12 +134,12 @@
 	r.delegated = nil
 	out = f.recordEnded(now, r, "delegate", to, e, out)
 	switch {
-	case e.Reply != nil && refusedForAll(e.Reply.Code):
+	case e.Reply != nil && (refusedForAll(e.Reply.Code) || r.finallyRefused(e.Reply)):
 	case e.HasNotRun():
 		if f.delegate(now, r, &out) {
 			return out
 		}
-		return f.sendAll(now, r, out)
+		return f.admitLocally(now, r, out)
 	case e.Reply == nil:
 		reply := &almondstep.Reply{Outcome: almondstep.OutcomeUnknown, Code: almondstep.CodeFailed, Trace: r.trace}
 		reply.Trace.Took = now.Sub(r.arrivedAt)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -43,6 +43,7 @@
 	if f.rollouts.sent(u) {
 		r.trace.Exposed++
 	}
+	f.gate.Sent(now, u.ID)
 	*out = append(*out, &almondstep.SendCall{
 		ID:              r.id,
 		Call:            id,
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -43,6 +43,8 @@
 
 	organisationLabels boundedLabels
 	organisations      cache[organisationKey, *metrics.Counter]
+	// admissions has the metrics of requests that waited or were refused for lack of capacity.
+	admissions cache[admissionKey, *admissionMetrics]
 }
 
 type routeMetrics struct {
@@ -57,6 +59,7 @@
 	delegated *metrics.Counter
 	broken    *metrics.Counter
 	exposed   *metrics.Counter
+	withheld  *metrics.Counter
 }
 
 // replyKey has the labels of the counter of answers to routed requests.
@@ -208,6 +211,8 @@
 	}
 	m.exposed.Add(t.Exposed)
 	m.broken.Add(len(t.Disconnected))
+	m.withheld.Add(t.Withheld)
+	r.recordAdmission(reply)
 	if t.Shards > 0 {
 		m.coverage.Update(float64(t.Included) / float64(t.Shards))
 	}
--- a/recorder/registered.go
+++ b/recorder/registered.go
@@ -84,6 +84,7 @@
 		limited:   r.set.GetOrCreateCounter(labeled(requestLimited, label...)),
 		broken:    r.set.GetOrCreateCounter(labeled(requestBroken, label...)),
 		exposed:   r.set.GetOrCreateCounter(labeled(requestExposed, label...)),
+		withheld:  r.set.GetOrCreateCounter(labeled(requestWithheld, label...)),
 	}
 }
 
