--- a/forwarder/admission_test.go
+++ b/forwarder/admission_test.go
@@ -111,7 +111,8 @@
 func TestHedgeIsWithheldWithoutCapacity(t *testing.T) {
 	w := newHarnessWithOrganisation(t)
 	w.arriveWithKey(1, "good")
-	w.advance(55 * time.Millisecond)
+	// The hedge is due after 51 ms.
+	w.advance(45 * time.Millisecond)
 	w.reportLoad(30)
 	before := len(w.calls)
 	w.advance(40 * time.Millisecond)
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -66,7 +66,7 @@
 
 // Metrics lists every metric a daemon has, in the order of the documentation.
 func Metrics() []Metric {
-	return slices.Concat(callerTable(), routeTable(), daemonTable(), stateTable())
+	return slices.Concat(callerTable(), routeTable(), routeCallTable(), daemonTable(), stateTable())
 }
 
 func routeTable() []Metric {
@@ -106,6 +106,12 @@
 			"Further calls that the retry budget didn't allow.",
 			"Above 0: so much is failing or late that more calls would harm the service.",
 		},
+	}
+}
+
+// routeCallTable lists further metrics of the calls for routed requests.
+func routeCallTable() []Metric {
+	return []Metric{
 		{
 			requestLimited, Counter, "shards", "route",
 			"Shards that weren't called because of the limits that their upstreams state.",
