Admit a request anew if no delegate is usable

Cause: a request over shards was admitted for the work of delegating it. If all delegates were then overloaded, in backoff or stalled, its calls to all shards were sent without a check of the upstreams' capacity and counted as 4 calls at the processor, just under overload.

Change: dispatch passes such a request to admitLocally, as after a delegate's refusal.

Result: TestRequestWithoutUsableDelegateIsAdmitted: 0 in place of 20 calls to full upstreams.

--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -51,12 +51,16 @@
 	return f.takeQuota(now, r, out)
 }
 
-// dispatch delegates the request, or sends its calls.
+// dispatch delegates the request, or sends its calls. If a request was admitted for delegation only
+// and no delegate is usable, admission decides anew: this daemon then makes all its calls.
 func (f *Forwarder) dispatch(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
 	if f.delegate(now, r, &out) {
 		f.requests[r.id] = r
 		return r.setTimer(now, out)
 	}
+	if r.admission.admitted && !r.admission.local && f.mayDelegate(r) {
+		return f.admitLocally(now, r, out)
+	}
 	return f.sendAll(now, r, out)
 }
 
