Use only first calls that can be hedged as trials of slow upstreams

Cause: a trial is priced below all usual upstreams, whatever the call. A request that isn't idempotent, or has a single attempt, waited for the slow upstream without a hedge; and the hedge of a trial went to the second slow upstream that was due for one, although a usual one was free.

Change: Picker.PickWithoutTrial prices an upstream that is due by its own slow estimate. The forwarder uses it for all but first calls that can be hedged.

--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -98,8 +98,12 @@
 	}
 	service, _ := r.directory.Routes().Service(s.service)
 	divisor := r.budgetDivisor(s.service)
+	pick := f.picker.PickWithoutTrial
+	if r.mayBeTrial(kind) {
+		pick = f.picker.Pick
+	}
 	for {
-		u, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable)
+		u, ok := pick(now, r.directory.Upstreams(s.service), usable)
 		if !ok {
 			return nil, false
 		}
@@ -110,6 +114,12 @@
 	}
 }
 
+// mayBeTrial reports whether a call may be a trial of a slow upstream: only a first call that is
+// hedged if it is late, since a request must not miss its latency target for a trial.
+func (r *request) mayBeTrial(kind budgeter.CallKind) bool {
+	return kind == budgeter.First && r.route.Idempotent() && r.route.Attempts() > 1
+}
+
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
 // calls to a cold one. An upstream that has said that it leaves gets no calls. A hedge never
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -52,6 +52,16 @@
 // aren't in backoff, and whether there is one. If the second is nearly as cheap, it
 // chooses one of the two at random.
 func (p *Picker) Pick(now almondstep.Instant, among []*almondstep.Upstream, usable func(*almondstep.Upstream) bool) (*almondstep.Upstream, bool) {
+	return p.pick(now, among, usable, true)
+}
+
+// PickWithoutTrial is like Pick for a call that isn't hedged if it is late: an upstream that is
+// due for a trial has the cost of a slow one.
+func (p *Picker) PickWithoutTrial(now almondstep.Instant, among []*almondstep.Upstream, usable func(*almondstep.Upstream) bool) (*almondstep.Upstream, bool) {
+	return p.pick(now, among, usable, false)
+}
+
+func (p *Picker) pick(now almondstep.Instant, among []*almondstep.Upstream, usable func(*almondstep.Upstream) bool, trials bool) (*almondstep.Upstream, bool) {
 	if len(among) == 0 {
 		return nil, false
 	}
@@ -63,7 +73,7 @@
 		if now < s.backoffUntil || !usable(u) {
 			continue
 		}
-		best.add(candidate{upstream: u, cost: p.cost(now, s)})
+		best.add(candidate{upstream: u, cost: p.cost(now, s, trials)})
 	}
 	if best.first.upstream == nil {
 		return nil, false
@@ -72,11 +82,15 @@
 }
 
 // cost returns the time in which the upstream is expected to answer one more request,
-// plus penalties for likely failures and delays.
-func (p *Picker) cost(now almondstep.Instant, s *upstreamState) time.Duration {
+// plus penalties for likely failures and delays. trials reports whether it may be a trial call.
+func (p *Picker) cost(now almondstep.Instant, s *upstreamState, trials bool) time.Duration {
 	mean, deviation := s.expectedLatency(now)
+	due := s.trialDue(now)
+	if due && !trials {
+		mean, deviation = s.atPresentPace(now, s.mean, s.deviation)
+	}
 	cost := mean + deviation
-	if s.trialDue(now) {
+	if due && trials {
 		// A trial must win against upstreams that are nearly equal, or a recovered
 		// upstream of three is never found.
 		cost = time.Duration(float64(mean) / nearlyEqualRatio)
--- a/picker/slow.go
+++ b/picker/slow.go
@@ -47,7 +47,7 @@
 }
 
 // trialDue reports whether a slow upstream may get a call as if it weren't slow. Such a
-// call is hedged as early as one to a usual upstream.
+// call is hedged as early as one to a usual upstream; calls that aren't hedged are no trials.
 func (u *upstreamState) trialDue(now almondstep.Instant) bool {
 	return u.isSlow(now) && now >= u.slowness.trialAt && len(u.inFlight) == 0
 }
--- a/picker/upstream.go
+++ b/picker/upstream.go
@@ -136,6 +136,12 @@
 	if u.trialDue(now) {
 		return mean, deviation
 	}
+	return u.atPresentPace(now, mean, deviation)
+}
+
+// atPresentPace converts a mean and a deviation at the pace 100 into those at the upstream's
+// present pace.
+func (u *upstreamState) atPresentPace(now almondstep.Instant, mean, deviation time.Duration) (presentMean, presentDeviation time.Duration) {
 	pace := u.pace.present(now, u.validFor(now))
 	return rescale(mean, u.rtt, usualPace, pace), rescale(deviation, 0, usualPace, pace)
 }
