Hold requests at a saturated processor whose pace isn't known yet

Cause: the time until the processor has capacity is the excess of calls times the mean interval between their ends. Before two requests had ended, that interval was 0, so the limit let each request pass.

Change: the time is at least 1 ms if there is no capacity.

--- a/admitter/processor.go
+++ b/admitter/processor.go
@@ -83,13 +83,14 @@
 	return p.limit == 0 || p.open+work <= p.limit || limitEnd*p.open <= p.limit
 }
 
-// wait returns the time until there is capacity for so many calls more.
+// wait returns the time until there is capacity for so many calls more; 0 only if there is now,
+// also while no interval is known.
 func (p *processor) wait(work int) time.Duration {
 	if p.has(work) {
 		return 0
 	}
 	over := p.open - max(p.limit/limitEnd, p.limit-work)
-	return time.Duration(max(1, over)) * p.interval
+	return max(minCheck, time.Duration(max(1, over))*p.interval)
 }
 
 // started counts the calls that a request needs.
