Order requests of several services by urgency at a saturated processor

Cause: a request over shards that lacked capacity of the processor for 20 ms held up all services, also more urgent requests whose calls fitted. With 256 requests waiting, an urgent one of a service with an empty queue was refused. While requests were held up, the queue was sorted and all shards visited with each event.

Change: such a request holds up only those after it in the order. An urgent request displaces one of a less urgent class of another service. Waiting requests over many shards are visited again after 3 ms, a new arrival, or the end of a request.

--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -88,46 +88,62 @@
 	return g.laneNamed(a.Service)
 }
 
-// enqueue adds a request to its lane. If too many wait, the last in the order of this
-// lane, or the new one, is refused.
+// enqueue adds a request to its lane. If too many wait, the last in the order of this lane, one
+// of a less urgent class in another lane, or the new one is refused.
 func (g *Gate) enqueue(now almondstep.Instant, e *entry, v Verdict) Verdict {
 	if len(g.entries) >= maxWaiting {
-		last := e.lane.last()
-		if last == nil || e.lane.order(e, last) > 0 {
-			return Verdict{Decision: Refuse, Cause: v.Cause, RetryAfter: g.spread(e.latestStart.Sub(now))}
-		}
+		last := g.lastWaiting(e)
 		refusal := Verdict{Decision: Refuse, Cause: v.Cause, RetryAfter: g.spread(last.latestStart.Sub(now))}
+		if last == e {
+			return refusal
+		}
 		g.Remove(last.ID)
 		v.Displaced, v.DisplacedVerdict = last.ID, &refusal
 	}
 	if len(e.lane.waiting) == 0 {
 		g.pressed = append(g.pressed, e.lane)
 	}
+	if g.processor.limit > 0 {
+		// The request may fit although those before it don't.
+		e.lane.visitedAt = 0
+	}
 	e.lane.waiting = append(e.lane.waiting, e)
 	g.entries[e.ID] = e
 	return v
 }
 
+// lastWaiting returns the request that gives way to e if too many wait; e itself if none does.
+func (g *Gate) lastWaiting(e *entry) *entry {
+	if last := e.lane.last(); last != nil && e.lane.order(e, last) <= 0 {
+		return last
+	}
+	least := e
+	for _, l := range g.pressed {
+		if last := l.last(); l != e.lane && last.Priority > e.Priority && compare(last, least) > 0 {
+			least = last
+		}
+	}
+	return least
+}
+
 // Next returns the waiting request that runs now, if there is one. It must be ended by
 // Ended. Call Next until it returns false, and send the calls of each request before the
 // next call.
 func (g *Gate) Next(now almondstep.Instant) (almondstep.QueryID, bool) {
 	var best *entry
+	blocked := false
 	for _, l := range g.pressed {
-		e, blocked := g.startable(now, l)
-		if blocked {
-			return 0, false
-		}
+		e, fits := g.startable(now, l)
 		if e == nil || best != nil && compare(e, best) > 0 {
 			continue
 		}
-		best = e
+		best, blocked = e, !fits
 		if g.processor.limit == 0 {
 			// Lanes compete for the processor only.
 			break
 		}
 	}
-	if best == nil {
+	if best == nil || blocked {
 		return 0, false
 	}
 	best.lane.start(now, best)
@@ -136,14 +152,15 @@
 	return best.ID, true
 }
 
-// startable returns the first request of a lane that has capacity; nil if none has. blocked
-// reports whether one has lacked capacity of the processor only for so long that none may
-// pass it.
-func (g *Gate) startable(now almondstep.Instant, l *lane) (first *entry, blocked bool) {
+// startable returns the first request of a lane that has capacity; nil if none has. It also
+// returns one, with fits unset, that has lacked capacity of the processor only for so long that
+// none after it in the order may pass it.
+func (g *Gate) startable(now almondstep.Instant, l *lane) (first *entry, fits bool) {
 	if l.visitedAt != 0 && now.Sub(l.visitedAt) < visitInterval && len(l.waiting[0].Route.Shards()) > manyShards {
-		return nil, false
+		return l.blocking, false
 	}
 	slices.SortFunc(l.waiting, l.order)
+	l.visitedAt, l.blocking = now, nil
 	var short *Ask
 	for _, e := range l.waiting {
 		fits := g.processor.has(e.Work)
@@ -157,14 +174,13 @@
 		case g.outlook(now, &e.Ask).wait > 0:
 			short = &e.Ask
 		case fits:
-			return e, false
+			l.visitedAt = 0
+			return e, true
 		default:
-			return nil, true
+			l.blocking = e
+			return e, false
 		}
 	}
-	if short != nil {
-		l.visitedAt = now
-	}
 	return nil, false
 }
 
--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -38,9 +38,10 @@
 	// between such starts; 0 if unknown.
 	startedAt almondstep.Instant
 	interval  time.Duration
-	// visitedAt is when all the shards of a request were last visited in vain to start a
-	// waiting one.
+	// visitedAt is when the waiting requests were last visited without one to start; 0 if one
+	// was found since. blocking is the one that none after it may pass since then; nil if none.
 	visitedAt almondstep.Instant
+	blocking  *entry
 }
 
 // entry is a waiting request.
@@ -119,6 +120,9 @@
 // remove removes a waiting request.
 func (l *lane) remove(e *entry) {
 	l.waiting = slices.DeleteFunc(l.waiting, func(other *entry) bool { return other == e })
+	if l.blocking == e {
+		l.blocking, l.visitedAt = nil, 0
+	}
 	if len(l.waiting) == 0 {
 		l.startedAt, l.interval = 0, 0
 	}
--- a/admitter/observe.go
+++ b/admitter/observe.go
@@ -34,7 +34,16 @@
 }
 
 // Ended records the end of a request that Offer or Next let run.
-func (g *Gate) Ended(now almondstep.Instant, work int) { g.processor.ended(now, work) }
+func (g *Gate) Ended(now almondstep.Instant, work int) {
+	g.processor.ended(now, work)
+	if g.processor.limit == 0 {
+		return
+	}
+	for _, l := range g.pressed {
+		// The processor has capacity that it lacked at the last visit.
+		l.visitedAt = 0
+	}
+}
 
 // RoomForExtra reports whether a service has a free slot for a hedge, or for a retry that
 // the answer doesn't need, beyond what the requests that wait for the service need.
