--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -16,6 +16,9 @@
 	// A measured interval between starts has the weight 1/intervalDivisor in the mean.
 	intervalDivisor = 8
 	maxInterval     = 200 * time.Millisecond
+	// similarSpan is the greatest difference of two requests' spans at which the same upstreams
+	// count as their capacity: the spans of delegated requests differ by a few milliseconds.
+	similarSpan = 10 * time.Millisecond
 )
 
 // lane holds the waiting requests of one service, or of the shards that routes have in
@@ -133,7 +136,7 @@
 func (a *Ask) needsLike(b *Ask) bool {
 	return a.Local == b.Local && a.Service == b.Service &&
 		len(a.Route.Shards()) == len(b.Route.Shards()) &&
-		a.span() == b.span() && a.Route.MinCoverage() == b.Route.MinCoverage() &&
+		(a.span()-b.span()).Abs() <= similarSpan && a.Route.MinCoverage() == b.Route.MinCoverage() &&
 		slices.Equal(a.Route.Spec().Regions, b.Route.Spec().Regions)
 }
 
