Send a request that waited to the upstreams listed when it starts

Cause: a request kept the directory of its arrival while it waited, so that it was sent to upstreams that had ended during the wait, for instance at the end of a rollout.

Change: a waiting request takes the present directory when it starts.

Result: TestWaitingRequestGoesToListedUpstream: one call to the new upstream in place of one to an old one.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -124,6 +124,10 @@
 		r := f.requests[id]
 		r.admission.admitted = true
 		r.endWait(now)
+		if f.directory != nil {
+			// Upstreams and delegates may have changed during the wait.
+			r.directory = f.directory
+		}
 		out = f.dispatch(now, r, out)
 	}
 	return out
--- a/forwarder/admission_delegates_test.go
+++ b/forwarder/admission_delegates_test.go
@@ -42,3 +42,20 @@
 		t.Errorf("got %d calls beside full upstreams, want %d", got, want)
 	}
 }
+
+// A request that waits while the upstreams are replaced would otherwise be sent to those that it
+// found on arrival, which have ended.
+func TestWaitingRequestGoesToListedUpstream(t *testing.T) {
+	w := newHarnessWithOrganisation(t)
+	w.reportLoad(5)
+	w.arriveWithKey(100, "good")
+	before := len(w.calls)
+	w.view = almondstep.NewView(almondstep.ViewSpec{Directory: almondstep.NewDirectory(almondstep.DirectorySpec{
+		Routes:    w.view.Directory().Routes(),
+		Upstreams: map[almondstep.ServiceName][]*almondstep.Upstream{"s": {{ID: "new", Service: "s", Region: near, Slots: 2}}},
+	})})
+	w.reduce(&almondstep.ViewChanged{})
+	if len(w.calls) != before+1 || w.calls[before].Upstream.ID != "new" {
+		t.Errorf("got %d calls, want one to the only upstream that is listed", len(w.calls)-before)
+	}
+}
