--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -16,6 +16,9 @@
 	// A measured interval between starts has the weight 1/intervalDivisor in the mean.
 	intervalDivisor = 8
 	maxInterval     = 200 * time.Millisecond
+	// similarSpan is the greatest difference of two requests' spans at which the same upstreams
+	// count as their capacity: the spans of delegated requests differ by a few milliseconds.
+	similarSpan = 10 * time.Millisecond
 )
 
 // lane holds the waiting requests of one service, or of the shards that routes have in
@@ -38,9 +41,10 @@
 	// between such starts; 0 if unknown.
 	startedAt almondstep.Instant
 	interval  time.Duration
-	// visitedAt is when all the shards of a request were last visited in vain to start a
-	// waiting one.
+	// visitedAt is when the waiting requests were last visited without one to start; 0 if one
+	// was found since. blocking is the one that none after it may pass since then; nil if none.
 	visitedAt almondstep.Instant
+	blocking  *entry
 }
 
 // entry is a waiting request.
@@ -119,6 +123,9 @@
 // remove removes a waiting request.
 func (l *lane) remove(e *entry) {
 	l.waiting = slices.DeleteFunc(l.waiting, func(other *entry) bool { return other == e })
+	if l.blocking == e {
+		l.blocking, l.visitedAt = nil, 0
+	}
 	if len(l.waiting) == 0 {
 		l.startedAt, l.interval = 0, 0
 	}
@@ -129,7 +136,7 @@
 func (a *Ask) needsLike(b *Ask) bool {
 	return a.Local == b.Local && a.Service == b.Service &&
 		len(a.Route.Shards()) == len(b.Route.Shards()) &&
-		a.span() == b.span() && a.Route.MinCoverage() == b.Route.MinCoverage() &&
+		(a.span()-b.span()).Abs() <= similarSpan && a.Route.MinCoverage() == b.Route.MinCoverage() &&
 		slices.Equal(a.Route.Spec().Regions, b.Route.Spec().Regions)
 }
 
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -98,8 +98,12 @@
 	}
 	service, _ := r.directory.Routes().Service(s.service)
 	divisor := r.budgetDivisor(s.service)
+	pick := f.picker.PickWithoutTrial
+	if r.mayBeTrial(kind) {
+		pick = f.picker.Pick
+	}
 	for {
-		u, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable)
+		u, ok := pick(now, r.directory.Upstreams(s.service), usable)
 		if !ok {
 			return nil, false
 		}
@@ -110,6 +114,12 @@
 	}
 }
 
+// mayBeTrial reports whether a call may be a trial of a slow upstream: only a first call that is
+// hedged if it is late, since a request must not miss its latency target for a trial.
+func (r *request) mayBeTrial(kind budgeter.CallKind) bool {
+	return kind == budgeter.First && r.route.Idempotent() && r.route.Attempts() > 1
+}
+
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
 // calls to a cold one. An upstream that has said that it leaves gets no calls. A hedge never
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
@@ -133,7 +143,7 @@
 func (f *Forwarder) connections(r *request, s almondstep.ServiceName) int {
 	service, _ := r.directory.Routes().Service(s)
 	limit := service.MaxConnections
-	if !r.directory.Routes().IsShard(s) || len(r.directory.Delegates()) > 0 {
+	if !r.directory.Routes().IsShard(s) || r.directory.Unlisted() || len(r.directory.Delegates()) > 0 {
 		return max(1, limit/r.directory.Daemons())
 	}
 	share := limit / r.directory.Gatherers()
@@ -158,13 +168,16 @@
 
 // BudgetDivisor returns the number by which a daemon divides a limit on the calls
 // of all daemons to a service. A daemon whose directory has no delegates is assumed to
-// query shards.
+// query shards. One that isn't listed yet takes a small part, since the others divide the limit
+// without it: a fifth of an equal share.
 //
 // Example: 78 daemons, of which 30 query shards. These divide by 38, and the other 48
 // by 240: together they have 30/38 + 48/240, or 0.99 of the limit.
 func BudgetDivisor(d *almondstep.Directory, s almondstep.ServiceName) int {
 	others := d.Daemons() - d.Gatherers()
 	switch {
+	case d.Unlisted():
+		return (d.Daemons() + 1) * othersDivisor
 	case others == 0 || !d.Routes().IsShard(s):
 		return d.Daemons()
 	case len(d.Delegates()) > 0:
