Give the terms of an upstream's cost

Cause: only the sum of the terms was known, so a choice couldn't be explained. Change: Picker.terms computes the terms; the cost is their sum, and Pick is unchanged. Result: go test -race ./picker ./forwarder passes, golden files unchanged.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -60,7 +60,7 @@
 	for i := range among {
 		u := among[(start+i)%len(among)]
 		s := p.stateOf(now, u)
-		if now < s.backoffUntil || !usable(u) {
+		if s.backoffLeft(now) > 0 || !usable(u) {
 			continue
 		}
 		best.add(candidate{upstream: u, cost: p.cost(now, s)})
@@ -74,22 +74,8 @@
 // cost returns the time in which the upstream is expected to answer one more request,
 // plus penalties for likely failures and delays.
 func (p *Picker) cost(now almondstep.Instant, s *upstreamState) time.Duration {
-	mean, deviation := s.expectedLatency(now)
-	cost := mean + deviation
-	if s.trialDue(now) {
-		// A trial must win against upstreams that are nearly equal, or a recovered
-		// upstream of three is never found.
-		cost = time.Duration(float64(mean) / nearlyEqualRatio)
-	}
-	cost += time.Duration(s.failureShare(now) * float64(failureCost))
-	cost += time.Duration(s.queuedPerSlot(now) * float64(max(mean-s.rtt, priorServiceTime)))
-	if over := s.overdue(now); over > 0 {
-		cost += overdueCost + over
-	}
-	if now < s.coldUntil {
-		cost += coldCost
-	}
-	return cost
+	t := p.terms(now, s)
+	return t.Cost()
 }
 
 // ExpectedLatency is the time within which the upstream is likely to answer.
