Explain where a request would go

Cause: an operator couldn't ask why a request goes where it goes, other than by sending one. Change: ExplainRequest -> ReplyExplain. Result: in 120 random histories of 30 requests each (delegates, rollouts, cold and limited upstreams) the state after an explanation equals that of a twin that wasn't asked, and the request does what was explained.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -110,8 +110,22 @@
 
 // mayDelegate reports whether the request is one that this daemon delegates.
 func (f *Forwarder) mayDelegate(r *request) bool {
-	return !r.asDelegate && len(r.route.Shards()) >= minDelegatedShards && r.route.Allows(f.region) &&
-		len(r.directory.Delegates()) > 0
+	return f.whyNotDelegated(r) == ""
+}
+
+// whyNotDelegated returns why this daemon doesn't delegate the request; empty if it does.
+func (f *Forwarder) whyNotDelegated(r *request) string {
+	switch {
+	case r.asDelegate:
+		return "another daemon has delegated the request"
+	case len(r.route.Shards()) < minDelegatedShards:
+		return "fewer shards than are delegated"
+	case !r.route.Allows(f.region):
+		return "the route or the organisation excludes this daemon's region"
+	case len(r.directory.Delegates()) == 0:
+		return "this daemon queries shards itself"
+	}
+	return ""
 }
 
 // startWaiting starts the waiting requests for which there is capacity.
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -19,36 +19,36 @@
 )
 
 // requestArrived identifies a request, and refuses it or passes it on to quota, admission and
-// dispatch.
-func (f *Forwarder) requestArrived(now almondstep.Instant, v *almondstep.View, e *almondstep.RequestArrived, out []almondstep.Effect) []almondstep.Effect {
+// dispatch. It returns the state of the request; nil if no route matches.
+func (f *Forwarder) requestArrived(now almondstep.Instant, v *almondstep.View, e *almondstep.RequestArrived, out []almondstep.Effect) (*request, []almondstep.Effect) {
 	d := v.Directory()
 	if d == nil || d.Routes() == nil {
-		return append(out, refuse(e.ID, almondstep.CodeNoConfiguration, noConfigurationRetryAfter))
+		return nil, append(out, refuse(e.ID, almondstep.CodeNoConfiguration, noConfigurationRetryAfter))
 	}
 	r := f.newRequest(d, e)
 	if r == nil && !v.DirectoryFresh(now) {
 		// The route may have been added since the routes were last confirmed.
-		return append(out, refuse(e.ID, almondstep.CodeNoConfiguration, noConfigurationRetryAfter))
+		return nil, append(out, refuse(e.ID, almondstep.CodeNoConfiguration, noConfigurationRetryAfter))
 	}
 	if r == nil {
-		return append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
+		return nil, append(out, refuse(e.ID, almondstep.CodeUnknownRoute, 0))
 	}
 	if refusal := f.identify(now, v, r); refusal != nil {
-		return append(out, refusal)
+		return r, append(out, refusal)
 	}
 	if f.quarantined(r) {
-		return append(out, f.refuseQuarantined(r))
+		return r, append(out, f.refuseQuarantined(r))
 	}
 	r.setDeadlines(cmp.Or(e.At, now), e.Remaining)
 	f.observeLag(now, r)
 	if now >= r.deadline {
-		return append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
+		return r, append(out, refuse(e.ID, almondstep.CodeDeadline, 0))
 	}
 	if f.stopsTooSoon(r) {
-		return append(out, refuse(e.ID, almondstep.CodeStopping, stoppingRetryAfter))
+		return r, append(out, refuse(e.ID, almondstep.CodeStopping, stoppingRetryAfter))
 	}
 	r.capDeadline(f.view.AnswerBy())
-	return f.takeQuota(now, r, out)
+	return r, f.takeQuota(now, r, out)
 }
 
 // dispatch delegates the request, or sends its calls.
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -93,7 +93,7 @@
 func (f *Forwarder) hedge(now almondstep.Instant, r *request, i int, out *[]almondstep.Effect) {
 	s := &r.shards[i]
 	s.hedgeAt = now.Add(hedgeRetryDelay)
-	if !r.route.Idempotent() || s.countedAttempts() >= r.route.Attempts() {
+	if !r.mayHedge(s) {
 		s.hedgeAt = never
 		return
 	}
@@ -102,6 +102,11 @@
 	}
 }
 
+// mayHedge reports whether the route allows a hedge of a shard.
+func (r *request) mayHedge(s *shard) bool {
+	return r.route.Idempotent() && s.countedAttempts() < r.route.Attempts()
+}
+
 const (
 	// hedgeRetryDelay is the delay before a hedge that wasn't possible is tried again.
 	hedgeRetryDelay = 15 * time.Millisecond
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -33,7 +33,7 @@
 // connections to each upstream, and the other 48 forward their requests to those of
 // their zone.
 func (f *Forwarder) delegate(now almondstep.Instant, r *request, out *[]almondstep.Effect) bool {
-	if r.asDelegate || len(r.route.Shards()) < minDelegatedShards || !r.route.Allows(f.region) {
+	if !f.mayDelegate(r) {
 		return false
 	}
 	untried := func(id almondstep.DaemonID) bool { return !slices.Contains(r.triedDelegates, id) }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -72,6 +72,8 @@
 	cappedTo almondstep.Instant
 	// view is that of the event being processed.
 	view *almondstep.View
+	// explains is set in a copy that explains a request, whose organisation is given by name.
+	explains bool
 }
 
 // callRef locates a call in its request.
@@ -106,6 +108,9 @@
 // Reduce processes one event, starts the waiting requests for which there is capacity then,
 // and appends the resulting effects to out.
 func (f *Forwarder) Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect {
+	if e, ok := e.(*almondstep.ExplainRequest); ok {
+		return append(out, &almondstep.ReplyExplain{Call: e.Call, Explanation: f.explain(now, v, e)})
+	}
 	return f.startWaiting(now, f.reduce(now, v, e, out))
 }
 
@@ -113,7 +118,8 @@
 	f.view = v
 	switch e := e.(type) {
 	case *almondstep.RequestArrived:
-		return f.requestArrived(now, v, e, out)
+		_, out = f.requestArrived(now, v, e, out)
+		return out
 	case *almondstep.CallEnded:
 		return f.callEnded(now, e, out)
 	case *almondstep.GatherEnded:
--- a/forwarder/identify.go
+++ b/forwarder/identify.go
@@ -26,7 +26,7 @@
 		r.message = r.message.ForOrganisation("")
 		return nil
 	}
-	o, known := routes.OrganisationOfKey(r.message.APIKey)
+	o, known := f.organisationOf(r)
 	code := almondstep.CodeUnauthorized
 	if !v.KeysValid(now) || !known && !v.DirectoryFresh(now) {
 		code = almondstep.CodeNoConfiguration
@@ -43,6 +43,15 @@
 	return nil
 }
 
+// organisationOf returns the organisation of a request by its API key. A request that is
+// explained has no key.
+func (f *Forwarder) organisationOf(r *request) (*almondstep.Organisation, bool) {
+	if f.explains {
+		return r.directory.Routes().Organisation(r.message.Organisation)
+	}
+	return r.directory.Routes().OrganisationOfKey(r.message.APIKey)
+}
+
 // routeFor returns a route as it applies to an organisation. It is kept for the next request,
 // as long as the version of the routes is the same.
 func (f *Forwarder) routeFor(routes *almondstep.RouteTable, route *almondstep.Route, o *almondstep.Organisation) *almondstep.Route {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -96,32 +96,54 @@
 	usable := func(u *almondstep.Upstream) bool {
 		return passes(u) && !slices.Contains(overRate, u) && f.mayCall(now, r, s, u, kind)
 	}
-	service, _ := r.directory.Routes().Service(s.service)
-	divisor := r.budgetDivisor(s.service)
 	for {
 		u, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable)
 		if !ok {
 			return nil, false
 		}
-		if !f.picker.Cold(now, u) || f.cold.Take(now, u.ID, service.ColdPerSecond, divisor) {
-			return u, f.rates.Take(now, u, divisor)
+		if f.takeCold(now, r, s, u) {
+			return u, f.rates.Take(now, u, r.budgetDivisor(s.service))
 		}
 		overRate = append(overRate, u)
 	}
 }
 
+// takeCold reports whether an upstream isn't cold, or may be called within this daemon's share of
+// the rate of calls to a cold one, from which the call is then taken.
+func (f *Forwarder) takeCold(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream) bool {
+	if !f.picker.Cold(now, u) {
+		return true
+	}
+	service, _ := r.directory.Routes().Service(s.service)
+	return f.cold.Take(now, u.ID, service.ColdPerSecond, r.budgetDivisor(s.service))
+}
+
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
 // calls to a cold one. An upstream that has said that it leaves gets no calls. A hedge never
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
 // calls that need it.
 func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
-	if !r.route.Allows(u.Region) || s.tried(u) || f.leaving.has(u) || !f.rollouts.mayCall(r, u, kind) {
-		return false
-	}
-	if !f.rates.Limited(now, u) {
-		return true
-	}
-	return kind != budgeter.Hedge && f.rates.Wait(now, u, r.budgetDivisor(s.service)) == 0
+	return f.whyNotCalled(now, r, s, u, kind) == ""
+}
+
+// whyNotCalled returns why an upstream may not be called for a shard, as in mayCall; empty if
+// it may.
+func (f *Forwarder) whyNotCalled(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) string {
+	switch {
+	case !r.route.Allows(u.Region):
+		return "region"
+	case s.tried(u):
+		return "tried"
+	case f.leaving.has(u):
+		return "leaving"
+	case !f.rollouts.mayCall(r, u, kind):
+		return "rollout"
+	case !f.rates.Limited(now, u):
+		return ""
+	case kind == budgeter.Hedge || f.rates.Wait(now, u, r.budgetDivisor(s.service)) > 0:
+		return "limit"
+	}
+	return ""
 }
 
 // minGathererConnections is the number of connections that a gatherer keeps for itself
