Add the verb explain, and its path at the daemon's operators' address

Cause: the explanation of the traffic thread had no way to an operator. Change: GET /almondstep/explain beside the metrics, one at a time, bounded in time and size; almondstep explain asks it and prints text or JSON, with the exit codes of the other verbs. docs/OPERATIONS.md says how to read it.

--- a/commander/verbs.go
+++ b/commander/verbs.go
@@ -17,6 +17,7 @@
 		{applyName, "Apply an edited configuration.", newApply},
 		{queryName, "Send a search or an operation to a daemon.", newQuery},
 		{statusName, "Show the status of every daemon.", newStatus},
+		{explainName, "Show where a daemon would send a request now and why, without sending it.", newExplain},
 		{demoName, "Run a platform, upstreams and daemons in one process and check their guarantees.", newDemo},
 		{loadName, "Run a scenario at a steady rate and optionally compare it with naive policies.", newLoad},
 		{standinName, "Run a stand-in for the platform, or for an upstream.", newStandin},
--- a/runner/effects_control.go
+++ b/runner/effects_control.go
@@ -26,6 +26,8 @@
 		r.calls.reply(f.Call, f)
 	case *almondstep.ReplyRegistryUpdate:
 		r.calls.reply(f.Call, f)
+	case *almondstep.ReplyExplain:
+		r.calls.reply(f.Call, f)
 	case *almondstep.ReadDocument:
 		r.background(func(ctx context.Context) { r.readDocument(ctx, f) })
 	case *almondstep.TakeZoneLease:
