Keep rollouts through a restore of the store

Cause: after a restore, the first full read listed an order as part of the copy, and withUnlisted took it as removed since the changes to apply lack what comes from the copy: every open rollout ended as withdrawn. Once that held, a version that was rolled back got requests again, since its order has another era; a decision on the order's earlier revision couldn't be written, since the condition names another era; and a final decision that was lost with the leader's key was written by nobody.

Change: unlisted entries are those that the read itself doesn't list. A decision is on an order if both revisions agree within their eras, and a new leader renews the order's revision. Rollout.Unstored marks a decision that the registry doesn't hold; such a rollout gets a leader, which writes the decision again. The removals are added in a fixed order instead of a map's.

--- a/message_rollout.go
+++ b/message_rollout.go
@@ -76,7 +76,7 @@
 	switch {
 	case other == nil:
 		return true
-	case d.OrderRevision != other.OrderRevision:
+	case !sameOrder(d.OrderRevision, other.OrderRevision):
 		return d.OrderRevision > other.OrderRevision
 	case other.Final():
 		return false
--- a/promoter/fleet_store_test.go
+++ b/promoter/fleet_store_test.go
@@ -1,6 +1,7 @@
 package promoter_test
 
 import (
+	"fmt"
 	"time"
 
 	"almondstep"
@@ -16,17 +17,19 @@
 	}
 	f.entries[key] = c
 	for _, d := range f.daemons {
-		f.deliver(d, c)
+		f.deliver(d, key, c)
 	}
 }
 
-func (f *fleet) deliver(d *daemon, c almondstep.RolloutChange) {
+func (f *fleet) deliver(d *daemon, key string, c almondstep.RolloutChange) {
 	f.after(f.millis(20, int(update.Milliseconds()/2)), func() {
 		if f.away {
-			f.deliver(d, c)
+			f.deliver(d, key, c)
 			return
 		}
 		changes := &almondstep.RegistryChanges{Revision: c.Revision, Rollouts: []almondstep.RolloutChange{c}}
+		removed := c.Order == nil && c.Decision == nil && c.Leader == nil
+		changes.Entries = []almondstep.RegistryEntry{{Key: key, Revision: c.Revision, Value: fmt.Sprint(c.Revision), Removed: removed}}
 		if c.Order != nil {
 			// The upstreams start after the order.
 			changes.Upstreams = upstreams(c.Order.Version, c.Revision)
@@ -49,6 +52,16 @@
 	if decision.Decision == nil {
 		decision.Revision = 0
 	}
+	conditions := []uint64{e.LeaderRevision, e.DecisionRevision}
+	if e.Decision != nil {
+		conditions = append(conditions, e.Decision.OrderRevision)
+	}
+	for _, c := range conditions {
+		if c != 0 && almondstep.EraOf(c) != f.era {
+			w.Err = "restored"
+			return w
+		}
+	}
 	if leader.Revision != e.LeaderRevision || e.Decision != nil && (decision.Revision != e.DecisionRevision || f.entries["order"].Revision != e.Decision.OrderRevision) {
 		w.Conflict = true
 		w.Present = []almondstep.RolloutChange{leader, decision}
--- a/promoter/fleet_test.go
+++ b/promoter/fleet_test.go
@@ -28,6 +28,7 @@
 	queue    queue
 	daemons  []*daemon
 	revision uint64
+	era      uint64
 	entries  map[string]almondstep.RolloutChange
 	away     bool
 	// slack is the setting's; fresh is how the new version answers.
@@ -129,7 +130,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	c := &almondstep.RegistryChanges{Revision: f.revision, Routes: routes}
+	c := &almondstep.RegistryChanges{Revision: f.revision, Routes: routes, Entries: []almondstep.RegistryEntry{{Key: "base", Revision: 10}}}
 	c.Upstreams = upstreams("v1", 5)
 	for i := range daemons {
 		c.Daemons = append(c.Daemons, almondstep.DaemonChange{Daemon: name(i), Alive: true, Zone: "a", Revision: 5})
--- a/promoter/lead.go
+++ b/promoter/lead.go
@@ -55,9 +55,14 @@
 		l.evidence.markAt = now
 		p.led[service] = l
 		if l.best = r.Current(); l.best != nil {
-			// A decision that the registry doesn't hold was lost in a restore.
-			l.stored = r.DecisionRevision != 0
+			l.stored = !r.Unstored
 			l.stageAt = r.DecidedAt
+			if l.best.OrderRevision != r.OrderRevision {
+				// The condition of a write names the order's present revision.
+				renewed := *l.best
+				renewed.OrderRevision = r.OrderRevision
+				l.best = &renewed
+			}
 		}
 	}
 	p.compare(l, r)
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -144,10 +144,10 @@
 // leads reports whether this daemon is the leader.
 func (p *Promoter) leads() bool { return p.leader.Daemon == p.cfg.Self && p.cfg.Self != "" }
 
-// open reports whether a rollout waits for a decision.
+// open reports whether a rollout waits for a decision, or a decision for being stored.
 func (p *Promoter) open() bool {
 	for _, r := range p.rollouts() {
-		if d := r.Current(); r.Order != nil && (d == nil || !d.Final()) {
+		if d := r.Current(); r.Order != nil && (d == nil || !d.Final() || r.Unstored) {
 			return true
 		}
 	}
--- a/rollout.go
+++ b/rollout.go
@@ -19,8 +19,15 @@
 	Decision         *RolloutDecision
 	DecisionRevision uint64
 	DecidedAt        Instant
+	// Unstored is set if the registry's entry isn't Decision: the decision came from the leader
+	// alone, or was lost when the registry was restored.
+	Unstored bool
 }
 
+// sameOrder reports whether two revisions are those of one order. A restore of the registry changes
+// the era of its revision.
+func sameOrder(a, b uint64) bool { return RevisionInEra(a) == RevisionInEra(b) }
+
 // Version is the version that the rollout is about.
 func (r *Rollout) Version() UpstreamVersion {
 	switch {
@@ -39,7 +46,7 @@
 	if r.Order == nil || d == nil || d.Version != r.Order.Version {
 		return nil
 	}
-	if d.OrderRevision != r.OrderRevision && d.State == RolloutRolledBack {
+	if !sameOrder(d.OrderRevision, r.OrderRevision) && d.State == RolloutRolledBack {
 		return nil
 	}
 	return d
@@ -47,7 +54,7 @@
 
 // StartedAt is when the order was given, as far as this daemon knows.
 func (r *Rollout) StartedAt() Instant {
-	if d := r.Current(); d != nil && d.OrderRevision == r.OrderRevision {
+	if d := r.Current(); d != nil && sameOrder(d.OrderRevision, r.OrderRevision) {
 		return min(r.SeenAt, r.DecidedAt.Add(-d.Age))
 	}
 	return r.SeenAt
--- a/watcher/rollouts.go
+++ b/watcher/rollouts.go
@@ -36,7 +36,7 @@
 func (w *Watcher) applyRollouts(now almondstep.Instant, e *almondstep.RegistryRead, changes []almondstep.RolloutChange, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	l := &w.rollouts
 	if e.Full {
-		changes = l.withUnlisted(changes, e.Changes.Revision)
+		changes = l.withUnlisted(changes, e.Changes)
 	}
 	changed := false
 	for _, c := range changes {
@@ -56,20 +56,22 @@
 	return changed, out
 }
 
-// withUnlisted adds the removals that a full read implies.
-func (l *rolloutEntries) withUnlisted(changes []almondstep.RolloutChange, revision uint64) []almondstep.RolloutChange {
+// withUnlisted adds the removals that a full read implies to its changes. These lack what the read
+// lists as part of the copy from which the registry was restored.
+func (l *rolloutEntries) withUnlisted(changes []almondstep.RolloutChange, read *almondstep.RegistryChanges) []almondstep.RolloutChange {
 	type entry struct {
 		subject almondstep.RolloutKind
 		service almondstep.ServiceName
 	}
-	listed := make(map[entry]bool, len(changes))
-	for _, c := range changes {
+	listed, revision := make(map[entry]bool, len(read.Rollouts)), read.Revision
+	for _, c := range read.Rollouts {
 		listed[entry{c.Subject, c.Service}] = true
 	}
 	all := append([]almondstep.RolloutChange(nil), changes...)
 	for _, service := range slices.Sorted(maps.Keys(l.services)) {
 		r := l.services[service]
-		for subject, held := range map[almondstep.RolloutKind]uint64{almondstep.RolloutOrdered: r.OrderRevision, almondstep.RolloutDecisionMade: r.DecisionRevision} {
+		for subject, held := range []uint64{almondstep.RolloutOrdered: r.OrderRevision, almondstep.RolloutDecisionMade: r.DecisionRevision} {
+			subject := almondstep.RolloutKind(subject)
 			// An entry of an earlier era was lost when the registry was restored.
 			if !listed[entry{subject, service}] && almondstep.EraOf(held) == almondstep.EraOf(revision) {
 				all = append(all, almondstep.RolloutChange{Subject: subject, Service: service, Revision: revision})
@@ -99,9 +101,9 @@
 		return false
 	case c.Decision != nil && !c.Decision.Final() && r.Decision != nil && r.Decision.Supersedes(c.Decision):
 		// A decision that the leader sent is ahead of the registry.
-		r.DecisionRevision = c.Revision
+		r.DecisionRevision, r.Unstored = c.Revision, true
 	default:
-		r.Decision, r.DecisionRevision, r.DecidedAt = c.Decision, c.Revision, now
+		r.Decision, r.DecisionRevision, r.DecidedAt, r.Unstored = c.Decision, c.Revision, now, false
 	}
 	r.Service = c.Service
 	l.services[c.Service] = r
@@ -127,7 +129,7 @@
 	if !known || !d.Supersedes(r.Decision) {
 		return false
 	}
-	r.Decision, r.DecidedAt = &d, now
+	r.Decision, r.DecidedAt, r.Unstored = &d, now, e.Revision == 0
 	r.DecisionRevision = max(r.DecisionRevision, e.Revision)
 	l.services[d.Service] = r
 	return true
--- a/watcher/rollouts_restored.go
+++ b/watcher/rollouts_restored.go
@@ -25,7 +25,7 @@
 	}
 	for service, r := range l.services {
 		if !listed[service] && almondstep.EraOf(r.DecisionRevision) < almondstep.EraOf(c.Revision) {
-			r.DecisionRevision = 0
+			r.DecisionRevision, r.Unstored = 0, r.Decision != nil
 			l.services[service] = r
 		}
 	}
