Grant bursts by the window only where the surplus covers them

Cause: a lender counts its grants against what its fractions allowed in the window. When its fraction then moves to another lender, its burst stays in the window, and the other's inflow has a part of the burst again. The sum over all lenders exceeds the limit by up to 0.24 of the burst beyond the surplus in use.

Change: a limit is windowed only if its surplus is at least 0.7 of its burst; otherwise the buckets fill at the rate and hold the burst, which needs no such count. With an overage of 0.1 and a slack of 20 that changes limits such as rate 10, burst 100, and not those with rate 19, burst 19 or rate 60, burst 60.

--- a/allocator/limit.go
+++ b/allocator/limit.go
@@ -24,6 +24,10 @@
 	// minWindowed is the least number of requests in a window for which grants are counted by the
 	// window. For fewer, the fractions of requests that remain unused would be too large a part.
 	minWindowed = 10
+	// minWindowedSurplus is the least surplus for that, as a multiple of the burst. What a lender has
+	// granted stays in the window when its fraction moves to another, whose inflow has a part of the
+	// burst again: without this condition, demand that moves reached 0.24 of the burst over the limit.
+	minWindowedSurplus = 0.7
 )
 
 // limit is the limit of one organisation, divided among those who use parts of it. In any window,
@@ -70,7 +74,8 @@
 		l.rate = max(0, l.rate-(1-l.burst-l.depth)/window)
 		l.depth = 1 - l.burst
 	}
-	l.windowed = l.rate*window+l.burst+l.extra(l.depth, true)*l.buckets() >= minWindowed
+	l.windowed = l.rate*window+l.burst+l.extra(l.depth, true)*l.buckets() >= minWindowed &&
+		surplus >= minWindowedSurplus*l.burst
 	return l
 }
 
