Don't add up all histograms to see whether a new version answers

Cause: in each tick, 10 times a second, the leader added up the histograms of all daemons, routes and versions only to find one answer of the new version. Change: it looks for the first such answer, without adding up. Result: the promoter's tests pass; the time wasn't measured.

--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -115,6 +115,18 @@
 	return false
 }
 
+// freshAnswered reports whether the new version has answered a call.
+func (e *evidence) freshAnswered() bool {
+	for _, t := range e.tallies {
+		for i := range t.Counts {
+			if t.Counts[i].New && t.Counts[i].Answers > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // exposure returns the requests of the service and the calls to the new version, over all daemons.
 func (e *evidence) exposure() (requests, exposed uint64) {
 	for _, t := range e.tallies {
--- a/promoter/lead.go
+++ b/promoter/lead.go
@@ -187,8 +187,7 @@
 	if float64(requests)*l.best.Share < expected {
 		return false
 	}
-	all := l.evidence.sum()[""]
-	return all == nil || all.fresh.answers == 0
+	return !l.evidence.freshAnswered()
 }
 
 // avoided returns the versions that get no requests beside those of the rollout: the targets of
