Forget the backoff of lenders that have left the fleet

Cause: the backoff of a lender that never answers again was kept for ever, one for each identity of a daemon that was ever lost as a lender. Change: a change of the members removes those of daemons that aren't among them. Result: the package's tests pass; the state isn't visible to a test.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -128,6 +128,10 @@
 	first := a.fleet == nil
 	if first || !slices.Equal(members, a.members) {
 		a.fleet, a.members = newFleet(members, a.cfg.Self), members
+		maps.DeleteFunc(a.backoffs, func(id almondstep.DaemonID, _ backoff) bool {
+			_, known := slices.BinarySearch(a.fleet.ids, id)
+			return !known
+		})
 	}
 	a.routes = d.Routes()
 	a.updateLimits(now)
