--- a/allocator/coordinator.go
+++ b/allocator/coordinator.go
@@ -102,24 +102,30 @@
 	}
 	c.number++
 	lease.Number = c.number
-	fractions := make(map[almondstep.OrganisationName]float64)
+	s.grants = append(s.grants, grant{
+		number: c.number, at: now, until: now.Add(time.Duration(clockMargin * float64(leaseTime))),
+		otherFraction: static, fractions: a.divide(now, c, r, &lease),
+	})
+	return lease
+}
+
+// divide sets the fractions in a lease, and those of organisations above their limit. It returns the
+// fractions.
+func (a *Allocator) divide(now almondstep.Instant, c *coordinator, r *almondstep.QuotaReport, lease *almondstep.QuotaLease) map[almondstep.OrganisationName]float64 {
+	fractions, shares := make(map[almondstep.OrganisationName]float64), c.shares(a.fleet.groups[r.Group], a.statics[r.Group])
 	for _, o := range c.active() {
 		l, known := a.limits[o]
 		if !known || l.single {
 			continue
 		}
-		f := c.fractionFor(now, r.From, c.shares(g, a.statics[r.Group]), o, l)
+		f := c.fractionFor(now, r.From, shares, o, l)
 		fractions[o] = f
 		if c.demandOf(o) > exceededDemand*l.rate {
 			lease.Exceeded = append(lease.Exceeded, o)
 		}
 		lease.Fractions = append(lease.Fractions, almondstep.OrganisationShare{Organisation: o, Value: f})
 	}
-	s.grants = append(s.grants, grant{
-		number: c.number, at: now, until: now.Add(time.Duration(clockMargin * float64(leaseTime))),
-		otherFraction: static, fractions: fractions,
-	})
-	return lease
+	return fractions
 }
 
 // reported records a report. A grant that the lender has confirmed replaces those before it, and
