--- a/promoter/lead.go
+++ b/promoter/lead.go
@@ -55,9 +55,14 @@
 		l.evidence.markAt = now
 		p.led[service] = l
 		if l.best = r.Current(); l.best != nil {
-			// A decision that the registry doesn't hold was lost in a restore.
-			l.stored = r.DecisionRevision != 0
+			l.stored = !r.Unstored
 			l.stageAt = r.DecidedAt
+			if l.best.OrderRevision != r.OrderRevision {
+				// The condition of a write names the order's present revision.
+				renewed := *l.best
+				renewed.OrderRevision = r.OrderRevision
+				l.best = &renewed
+			}
 		}
 	}
 	p.compare(l, r)
@@ -182,8 +187,7 @@
 	if float64(requests)*l.best.Share < expected {
 		return false
 	}
-	all := l.evidence.sum()[""]
-	return all == nil || all.fresh.answers == 0
+	return !l.evidence.freshAnswered()
 }
 
 // avoided returns the versions that get no requests beside those of the rollout: the targets of
