Keep orders of rollouts that a restored registry lists

Cause: after a restore of the store, an order that the copy has gets its revision of the new era first, and is then left out of the changes to be applied, since it replaces nothing. The removals that a full read implies were derived from these changes, so the order counted as withdrawn: no leader decided on it any more, and daemons that started later were alone in knowing it.

Change: what a full read lists is taken from the read itself.

Result: TestRestoreKeepsOrders fails without the change (an order withdrawn at once and after the grace) and passes with it, as does the package.

--- a/watcher/restore_test.go
+++ b/watcher/restore_test.go
@@ -63,6 +63,13 @@
 		if e.Key == "config" {
 			c.Routes = table(s.t, almondstep.RouteVersion(len(e.Value)))
 		}
+		if e.Key == "order" {
+			r := almondstep.RolloutChange{Subject: almondstep.RolloutOrdered, Service: "s", Revision: e.Revision}
+			if !e.Removed {
+				r.Order = &almondstep.RolloutOrder{Version: "v2", CompleteBy: time.Minute}
+			}
+			c.Rollouts = append(c.Rollouts, r)
+		}
 	}
 	for _, u := range c.Upstreams {
 		if u.Upstream != nil {
@@ -107,6 +114,27 @@
 	return false
 }
 
+// Guards against an order of a rollout that counts as withdrawn although the registry lists it as
+// part of the copy, and against a withdrawn one that is in force again.
+func TestRestoreKeepsOrders(t *testing.T) {
+	for _, withdrawn := range []bool{false, true} {
+		s := newRestoredStore(t)
+		s.change("order", "v2")
+		s.restore(func() {
+			if withdrawn {
+				s.change("order", "-")
+			}
+		}, func() { s.write("x", "") })
+		for range 2 {
+			r := s.view.Directory().Rollouts()["s"]
+			if got := r == nil || r.Order == nil; got != withdrawn {
+				t.Errorf("got an order withdrawn: %v, want %v", got, withdrawn)
+			}
+			s.wait(11 * time.Second)
+		}
+	}
+}
+
 // Guards against a step back: what daemons had applied before the registry was restored
 // from an older copy is undone, though nobody has written the earlier state again.
 func TestRestoreUndoesNothingThatWasApplied(t *testing.T) {
--- a/watcher/rollouts.go
+++ b/watcher/rollouts.go
@@ -36,7 +36,7 @@
 func (w *Watcher) applyRollouts(now almondstep.Instant, e *almondstep.RegistryRead, changes []almondstep.RolloutChange, out []almondstep.Effect) (bool, []almondstep.Effect) {
 	l := &w.rollouts
 	if e.Full {
-		changes = l.withUnlisted(changes, e.Changes.Revision)
+		changes = l.withUnlisted(changes, e.Changes)
 	}
 	changed := false
 	for _, c := range changes {
@@ -56,14 +56,16 @@
 	return changed, out
 }
 
-// withUnlisted adds the removals that a full read implies.
-func (l *rolloutEntries) withUnlisted(changes []almondstep.RolloutChange, revision uint64) []almondstep.RolloutChange {
+// withUnlisted adds the removals that a full read implies. changes may lack what the read lists as
+// part of the copy from which the registry was restored.
+func (l *rolloutEntries) withUnlisted(changes []almondstep.RolloutChange, read *almondstep.RegistryChanges) []almondstep.RolloutChange {
 	type entry struct {
 		subject almondstep.RolloutKind
 		service almondstep.ServiceName
 	}
-	listed := make(map[entry]bool, len(changes))
-	for _, c := range changes {
+	revision := read.Revision
+	listed := make(map[entry]bool, len(read.Rollouts))
+	for _, c := range read.Rollouts {
 		listed[entry{c.Subject, c.Service}] = true
 	}
 	all := append([]almondstep.RolloutChange(nil), changes...)
