--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -141,6 +141,15 @@
 	return out
 }
 
+// hadEntry reports whether the registry had the entry of this daemon's earlier process when it
+// started. Otherwise it may have lost entries, also those of other daemons that are running.
+func (a *Allocator) hadEntry() bool { return a.directory.MembersAtStart() > 0 }
+
+// knowsMembers reports whether the directory has at least the daemons of this daemon's start.
+func (a *Allocator) knowsMembers() bool {
+	return a.hadEntry() && len(a.members) >= a.directory.MembersAtStart()
+}
+
 // updateLimits computes the limits of the organisations anew, and forgets those of organisations
 // that are gone.
 func (a *Allocator) updateLimits(now almondstep.Instant) {
@@ -174,7 +183,7 @@
 		h := a.holders[n]
 		switch {
 		case holds && h == nil:
-			h = newHolder(now, first, a.startedAt)
+			h = newHolder(now, first, a.startedAt, a.hadEntry())
 			a.holders[n] = h
 			out = append(out, a.report("holds quotas of organisations", n, ""))
 		case !holds && h != nil:
--- a/allocator/coordinator.go
+++ b/allocator/coordinator.go
@@ -96,7 +96,7 @@
 		return almondstep.QuotaLease{Refused: true}
 	}
 	static, leaseFrom := a.static(r.Group, r.From).used(now), a.static(r.Group, r.From).leaseFrom
-	lease := almondstep.QuotaLease{Epoch: c.epoch, Default: static, Complete: now >= leaseFrom && c.knowsAll(now, g)}
+	lease := almondstep.QuotaLease{Epoch: c.epoch, Default: static, Complete: now >= leaseFrom && a.knowsMembers() && c.knowsAll(now, g)}
 	if now < leaseFrom || !r.Settled && r.Epoch != c.epoch && !lease.Complete {
 		return lease
 	}
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -54,12 +54,14 @@
 	reporting reporting
 }
 
-// newHolder returns a holder without a lease. A role that is assigned at the start of the process
+// newHolder returns a holder without a lease. A daemon whose entry the registry didn't have at its
+// start may not know of the others, until they have written theirs again. A role that is assigned at
+// the start of the process
 // may be older, so that a coordinator may know the daemon's previous process.
-func newHolder(now almondstep.Instant, first bool, startedAt almondstep.Instant) *holder {
+func newHolder(now almondstep.Instant, first bool, startedAt almondstep.Instant, hadEntry bool) *holder {
 	h := &holder{since: now, initial: first, buckets: make(map[almondstep.OrganisationName]*bucket)}
 	h.quietUntil = now.Add(roleTime)
-	if first {
+	if first && hadEntry {
 		h.quietUntil = startedAt.Add(quietTime)
 		// If the daemon has just joined, its predecessor may learn of that later.
 		h.staticFrom = startedAt.Add(roleTime)
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -113,7 +113,7 @@
 	}
 	m.viewOf = func(members []almondstep.Member) *almondstep.View {
 		return almondstep.NewView(almondstep.ViewSpec{
-			Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: members, Daemons: len(members)}),
+			Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: members, MembersAtStart: len(members), Daemons: len(members)}),
 		})
 	}
 	m.members = members
--- a/allocator/window_test.go
+++ b/allocator/window_test.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return almondstep.NewView(almondstep.ViewSpec{Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: m.members, Daemons: 1})})
+		return almondstep.NewView(almondstep.ViewSpec{Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: m.members, MembersAtStart: len(m.members), Daemons: 1})})
 	}
 	m.run(10 * time.Second)
 	return m, m.nodes[0].allocator, viewOf
--- a/directory.go
+++ b/directory.go
@@ -72,6 +72,7 @@
 	delegates         []Delegate
 	regionalDelegates map[RegionName][]Delegate
 	members           []Member
+	membersAtStart    int
 	rollouts          map[ServiceName]*Rollout
 	rolloutLeader     RolloutLeader
 }
@@ -112,6 +113,10 @@
 	RegionalDelegates map[RegionName][]Delegate
 	// Members are all daemons that have an address, and this one, in any order.
 	Members []Member
+	// MembersAtStart is the number of daemons that the registry listed when this daemon started,
+	// if the entry of its earlier process was among them; otherwise 0: the registry may then list
+	// only a few of the daemons, because it has lost entries.
+	MembersAtStart int
 	// Rollouts are the rollouts in the registry, by service, and RolloutLeader is the daemon
 	// that decides on them.
 	Rollouts      map[ServiceName]*Rollout
@@ -131,6 +136,7 @@
 		delegates:         spec.Delegates,
 		regionalDelegates: spec.RegionalDelegates,
 		members:           spec.Members,
+		membersAtStart:    spec.MembersAtStart,
 		rollouts:          spec.Rollouts,
 		rolloutLeader:     spec.RolloutLeader,
 	}
@@ -177,6 +183,10 @@
 // Members are all daemons that have an address, and this one. The caller must not change it.
 func (d *Directory) Members() []Member { return d.members }
 
+// MembersAtStart is the number of daemons that the registry listed when this daemon started, if
+// the entry of its earlier process was among them; otherwise 0.
+func (d *Directory) MembersAtStart() int { return d.membersAtStart }
+
 // RegionalDelegatesByRegion maps each other region to its regional delegates. The
 // caller must not change it.
 func (d *Directory) RegionalDelegatesByRegion() map[RegionName][]Delegate { return d.regionalDelegates }
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"almondstep"
 )
@@ -195,6 +196,7 @@
 	if !c.Alive {
 		if d.alive {
 			d.alive, d.dropAt = false, now.Add(expiredDaemonRetention)
+			w.announceAgain(now, c.Daemon)
 		}
 		return false
 	}
@@ -207,6 +209,16 @@
 	return true
 }
 
+// announceAgain has this daemon's entry written again soon after it was removed, since the registry
+// may have ended the leases of all daemons: a daemon that starts then would know of no other.
+func (w *Watcher) announceAgain(now almondstep.Instant, removed almondstep.DaemonID) {
+	if removed != w.cfg.Self || w.stopping {
+		return
+	}
+	at := now.Add(time.Duration(w.random.Next() % uint64(rewriteSpread)))
+	w.announceAt = min(w.announceAt, at)
+}
+
 // expire drops the lapsed entries whose leases weren't renewed in time and the daemons
 // whose retention has ended, and reports whether any was dropped.
 func (w *Watcher) expire(now almondstep.Instant, out []almondstep.Effect) (bool, []almondstep.Effect) {
@@ -252,6 +264,7 @@
 		Delegates:         gatherers.delegates,
 		RegionalDelegates: gatherers.regional,
 		Members:           w.members(),
+		MembersAtStart:    w.boot.listedAtStart,
 		Rollouts:          w.rollouts.publish(),
 		RolloutLeader:     w.rollouts.leader,
 	})
--- a/watcher/boot.go
+++ b/watcher/boot.go
@@ -28,6 +28,11 @@
 	// listPending is whether a read of the list of daemons is pending.
 	listPending bool
 	nextListAt  almondstep.Instant
+	// listed is whether the first read of the list has ended. listedAtStart is the number of
+	// daemons in it if it has this daemon, whose own announcement takes longer than that read:
+	// the entry is that of its earlier process.
+	listed        bool
+	listedAtStart int
 	// rankDeadline is when the rank is determined even if no list has this daemon.
 	rankDeadline almondstep.Instant
 	// rankKnown is whether the rank is determined; rankKnownAt is since when.
@@ -61,6 +66,8 @@
 func (w *Watcher) daemonsListed(now almondstep.Instant, e *almondstep.RegistryRead, out []almondstep.Effect) []almondstep.Effect {
 	w.boot.listPending = false
 	w.boot.nextListAt = now.Add(listInterval)
+	first := !w.boot.listed
+	w.boot.listed = true
 	if e.Err != "" {
 		w.reads.cause = e.Err
 		return w.askSeeds(now, out)
@@ -71,6 +78,9 @@
 	for _, d := range e.Changes.Daemons {
 		w.applyDaemon(now, d)
 	}
+	if _, listed := w.daemons[w.cfg.Self]; listed && first {
+		w.boot.listedAtStart = len(w.daemons)
+	}
 	return w.start(now, out)
 }
 
