--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -92,7 +92,7 @@
 		n.down = true
 		m.members = slices.DeleteFunc(slices.Clone(m.members), func(o almondstep.Member) bool { return o.ID == n.member.ID })
 		m.changes++
-		view, change := m.viewOf(m.members), m.changes
+		view, change := m.viewOf(m.members, len(m.members)), m.changes
 		for _, other := range m.nodes {
 			m.after(time.Duration(m.rng.Int64N(int64(4*time.Second))), func() {
 				if change > other.changes {
--- a/allocator/coordinator.go
+++ b/allocator/coordinator.go
@@ -88,10 +88,6 @@
 		return almondstep.QuotaLease{Refused: true}
 	}
 	s := c.reported(now, r)
-	if r.Epoch != 0 && r.Epoch != c.epoch {
-		// The lender follows an earlier process of this daemon, which hence hasn't just joined.
-		a.holders[r.Group].staticFrom = 0
-	}
 	if a.stale(now) && !c.reachesMajority(now, g) {
 		return almondstep.QuotaLease{Refused: true}
 	}
--- a/allocator/faults_test.go
+++ b/allocator/faults_test.go
@@ -187,7 +187,7 @@
 	const rate, burst = 40.0, 10.0
 	for seed := range uint64(100) {
 		m := newModel(t, seed, 9, allocator.Config{Window: 5 * time.Second, Overage: 0.02}, organisation(t, "o", rate, burst))
-		joining, old := m.nodes[8], m.viewOf(m.members[:8])
+		joining, old := m.nodes[8], m.viewOf(m.members[:8], 8)
 		joining.down = true
 		for _, n := range m.nodes[:8] {
 			n.view = old
@@ -196,8 +196,8 @@
 		m.members[8].Cores, joining.member.Cores = 2, 2
 		m.load("o", 10*rate, m.everywhere)
 		m.run(12 * time.Second)
-		view := m.viewOf(m.members)
-		joining.view = view
+		view := m.viewOf(m.members, 8)
+		joining.view = m.viewOf(m.members, 0)
 		m.start(joining)
 		for _, n := range m.nodes[:8] {
 			m.after(time.Duration(m.rng.Int64N(int64(4*time.Second))), func() { n.view = view })
--- a/allocator/holder.go
+++ b/allocator/holder.go
@@ -35,8 +35,6 @@
 	// from when it may use them.
 	home     bool
 	homeFrom almondstep.Instant
-	// staticFrom is from when the static fraction is used without a lease.
-	staticFrom almondstep.Instant
 	// quietUntil is until when the static fraction may be used by others.
 	quietUntil almondstep.Instant
 
@@ -55,7 +53,8 @@
 }
 
 // newHolder returns a holder without a lease. A daemon whose entry the registry didn't have at its
-// start may not know of the others, until they have written theirs again. A role that is assigned at
+// start has just joined, so that its predecessor may learn of that later, or may not know of the
+// others until they have written their entries again. A role that is assigned at
 // the start of the process
 // may be older, so that a coordinator may know the daemon's previous process.
 func newHolder(now almondstep.Instant, first bool, startedAt almondstep.Instant, hadEntry bool) *holder {
@@ -63,8 +62,6 @@
 	h.quietUntil = now.Add(roleTime)
 	if first && hadEntry {
 		h.quietUntil = startedAt.Add(quietTime)
-		// If the daemon has just joined, its predecessor may learn of that later.
-		h.staticFrom = startedAt.Add(roleTime)
 	}
 	return h
 }
@@ -103,7 +100,7 @@
 		return h.leasedFraction(o)
 	case stale:
 		return 0
-	case h.settled(now) && (now >= h.staticFrom || h.fractions != nil):
+	case h.settled(now):
 		return static
 	case h.fractions == nil:
 		return 0
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -25,8 +25,8 @@
 	// members are the daemons that haven't left, changes counts those that have.
 	members []almondstep.Member
 	changes int
-	// viewOf returns a view of some daemons.
-	viewOf func([]almondstep.Member) *almondstep.View
+	// viewOf returns a view of some daemons at one whose start the registry listed some.
+	viewOf func(members []almondstep.Member, atStart int) *almondstep.View
 	// cut holds, for each pair of nodes, whether no message passes.
 	cut func(a, b *node) bool
 	// returns is the probability that a granted request isn't sent, and its quota returned.
@@ -111,13 +111,13 @@
 			Zone: almondstep.ZoneName(zone), Region: almondstep.RegionName(fmt.Sprint(i % 3)),
 		})
 	}
-	m.viewOf = func(members []almondstep.Member) *almondstep.View {
+	m.viewOf = func(members []almondstep.Member, atStart int) *almondstep.View {
 		return almondstep.NewView(almondstep.ViewSpec{
-			Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: members, MembersAtStart: len(members), Daemons: len(members)}),
+			Directory: almondstep.NewDirectory(almondstep.DirectorySpec{Routes: routes, Members: members, MembersAtStart: atStart, Daemons: len(members)}),
 		})
 	}
 	m.members = members
-	view := m.viewOf(members)
+	view := m.viewOf(members, len(members))
 	for _, member := range members {
 		n := &node{member: member, view: view, speed: 0.998 + 0.004*m.rng.Float64()}
 		m.nodes = append(m.nodes, n)
--- a/allocator/reporting.go
+++ b/allocator/reporting.go
@@ -76,10 +76,6 @@
 	report := almondstep.QuotaReport{
 		From: a.cfg.Self, Group: n, Settled: h.settled(now), Fresh: h.initial && h.fractions == nil, Demand: a.demand(now, h),
 	}
-	if to.ID == a.cfg.Self {
-		// Its own lease shows nothing about whether the others know of it.
-		report.Settled = report.Settled && now >= h.staticFrom
-	}
 	if h.epoch != 0 && h.reporting.owner == to.ID {
 		report.Epoch, report.Lease = h.epoch, h.number
 		h.quietUntil = max(h.quietUntil, now.Add(quietTime))
