Correct the comment on what a window of grants bounds

Cause: the comment said that the limit holds however fractions move, but a review measured up to 1.043 of the bound before windowed limits needed a surplus. Change: the comment says what holds and what covers the rest.

--- a/allocator/window.go
+++ b/allocator/window.go
@@ -11,8 +11,9 @@
 const windowSlots = 50
 
 // window holds what was granted from a bucket, and what its fractions of the limit allowed, in the
-// last window. The sum of all fractions is at most 1 at any time, so what all buckets grant in a
-// window is at most the limit of a window, however the fractions move between them.
+// last window. While the fractions stay, what all buckets grant in a window is at most the limit of
+// a window, since the fractions sum to at most 1. When a fraction moves, what its former holder has
+// granted stays in the window: the surplus covers that (minWindowedSurplus).
 type window struct {
 	length  time.Duration
 	updated almondstep.Instant
