--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -45,7 +45,9 @@
 	coldUntil time.Time
 	limit     string
 	arrivals  []arrival
-	done      chan struct{}
+	// nextRun, if set, is called once, when the next request begins to run.
+	nextRun func()
+	done    chan struct{}
 }
 
 // entryStore is where servers write their entries.
@@ -124,6 +126,13 @@
 	s.beat()
 }
 
+// onNextRun has f called when the next request begins to run.
+func (s *server) onNextRun(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextRun = f
+}
+
 // crash closes the listener and all connections.
 func (s *server) crash() {
 	s.mu.Lock()
@@ -256,6 +265,13 @@
 // run works on a request and answers it.
 func (s *server) run(ctx context.Context, w http.ResponseWriter, id string) {
 	s.arrived(id, "runs")
+	s.mu.Lock()
+	nextRun := s.nextRun
+	s.nextRun = nil
+	s.mu.Unlock()
+	if nextRun != nil {
+		nextRun()
+	}
 	select {
 	case <-time.After(s.Work()):
 	case <-s.done:
