--- a/review/rig2/cold.go
+++ b/review/rig2/cold.go
@@ -16,10 +16,10 @@
 	coldFactor    = 1.5
 	coldSlack     = 5
 	// coldTime is how long a server is cold.
-	coldTime = 12 * time.Second
+	coldTime = 3 * time.Second
 	// coldNotice is how long after the store has its entry a server that is cold again isn't
 	// judged; the rule itself has no such time.
-	coldNotice = 3 * time.Second
+	coldNotice = time.Second
 	// coldCrash is the number of requests in a second, well above coldPerSecond, at which a cold
 	// server crashes.
 	coldCrash = 25
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -17,16 +17,20 @@
 	fetchAim   = time.Second
 	fetchRate  = 110
 	fetchWork  = 200 * time.Millisecond
-	// fetchServers is the number of servers, of which hangServers leave hangShare of their requests
-	// unanswered for hangTime.
+	// Of fetchServers servers, shedServers turn shedShare of their requests away for shedTime, and
+	// slowServers work slowFactor times as long for slowTime, from slowAfter later on.
 	fetchServers = 7
-	hangServers  = 5
-	hangShare    = 0.6
-	hangTime     = 9 * time.Second
-	// drainAfter is when, after the servers begin to hang, one of them announces that it is
+	shedServers  = 5
+	shedShare    = 0.6
+	shedTime     = 9 * time.Second
+	slowServers  = 2
+	slowFactor   = 12
+	slowTime     = 8 * time.Second
+	slowAfter    = 4 * time.Second
+	// drainAfter is when, after servers became slow, one of them announces that it is
 	// draining. drainTime is the bound of the settings. The server serves on for serveOn at least and
 	// maxServeOn at most, and ends exitDelay after the next request began to run.
-	drainAfter = 6 * time.Second
+	drainAfter = 1500 * time.Millisecond
 	drainTime  = 3 * time.Second
 	serveOn    = 3 * time.Second
 	maxServeOn = 6 * time.Second
@@ -53,15 +57,21 @@
 	return drainedAt
 }
 
-// leavingServer lets one of seven servers drain and leave while five of them leave a part of their
-// requests unanswered, and counts the requests that reach it later than it may get any.
+// leavingServer lets one of seven servers drain and leave while others turn requests away or are
+// slow, and counts the requests that reach it later than it may get any.
 func leavingServer(s *scene) (bool, error) {
-	var hanging atomic.Bool
+	var shedding, slow atomic.Bool
 	for i := range fetchServers {
 		s.servers = append(s.servers, &server{
 			names: s.names, record: s.record, store: s.store, ID: fmt.Sprintf("i-%d", i+1), Service: "calibration", Zone: zones()[i%len(zones())],
-			Slots: 6, Queue: 24, Work: func() time.Duration { return fetchWork },
-			Hangs: func() bool { return i < hangServers && hanging.Load() && rand.Float64() < hangShare },
+			Slots: 6, Queue: 24,
+			Sheds: func() bool { return i < shedServers && shedding.Load() && rand.Float64() < shedShare },
+			Work: func() time.Duration {
+				if slow.Load() && i >= fetchServers-1-slowServers && i < fetchServers-1 {
+					return slowFactor * fetchWork
+				}
+				return fetchWork
+			},
 		})
 	}
 	err := s.begin(map[string]any{
@@ -81,12 +91,18 @@
 	})
 	time.Sleep(6 * time.Second)
 	if s.trouble {
-		hanging.Store(true)
-		time.AfterFunc(hangTime, func() { hanging.Store(false) })
-		s.say("at %.3f s %d of %d servers begin to leave %.0f%% of their requests unanswered, for %v", s.record.now().Seconds(), hangServers, fetchServers, 100*hangShare, hangTime)
+		shedding.Store(true)
+		time.AfterFunc(shedTime, func() { shedding.Store(false) })
+		s.say("at %.3f s %d of %d servers begin to turn %.0f%% of their requests away, for %v", s.record.now().Seconds(), shedServers, fetchServers, 100*shedShare, shedTime)
+	}
+	time.Sleep(slowAfter)
+	if s.trouble {
+		slow.Store(true)
+		time.AfterFunc(slowTime, func() { slow.Store(false) })
+		s.say("at %.3f s %d of %d servers begin to work %d times as long, for %v", s.record.now().Seconds(), slowServers, fetchServers, slowFactor, slowTime)
 	}
 	time.Sleep(drainAfter)
-	leaving := s.servers[1]
+	leaving := s.servers[fetchServers-1]
 	drainedAt := s.drainAndEnd(leaving)
 	sending.Wait()
 	outcomes := s.client.wait()
--- a/review/rig2/popular.go
+++ b/review/rig2/popular.go
@@ -19,7 +19,7 @@
 	popularLimit = 3 * time.Second
 	popularWork  = 60 * time.Millisecond
 	// allDown is how long all servers of the service are down.
-	allDown = 4500 * time.Millisecond
+	allDown = 3100 * time.Millisecond
 	// settleTime is how long after their return the requests are counted, and judgeTime for how
 	// long.
 	settleTime = 12 * time.Second
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -28,10 +28,12 @@
 	Work func() time.Duration
 	// OnArrival, if set, is called with the time of each request that begins to run.
 	OnArrival func(at time.Duration)
-	// Turns, if set, answers a request instead of running it, and reports whether it did.
-	Turns func(w http.ResponseWriter) bool
-	// Hangs, if set, reports whether the server leaves the request that has arrived unanswered.
-	Hangs func() bool
+	// RestSeconds is what the server states in Retry-After when it turns a request away; 0 if it
+	// states nothing. OnRest, if set, is called with each request that it turns away so.
+	RestSeconds int
+	OnRest      func(id string, at time.Duration)
+	// Sheds, if set, reports whether the server turns the request that has arrived away.
+	Sheds func() bool
 
 	born     time.Time
 	listener net.Listener
@@ -183,20 +185,16 @@
 		h.Set(s.names.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case s.Turns != nil && s.Turns(w):
-		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	if s.Hangs != nil && s.Hangs() {
-		s.hang(r.Context(), id)
+	if s.Sheds != nil && s.Sheds() {
+		s.turnAway(w, id)
 		return
 	}
 	ctx, cancel := s.limitTime(r)
 	defer cancel()
 	if !s.takeSlot(ctx) {
-		h.Set(s.names.NotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		s.record.addf("%s turned away by %s: no slot", id, s.ID)
+		s.turnAway(w, id)
 		return
 	}
 	defer func() { <-s.slots }()
@@ -241,19 +239,22 @@
 	}
 }
 
-// hang holds a request without an answer until its connection or the server ends.
-func (s *server) hang(ctx context.Context, id string) {
-	s.arrived(id, "hangs")
-	select {
-	case <-s.done:
-	case <-ctx.Done():
+// turnAway refuses a request that hasn't run.
+func (s *server) turnAway(w http.ResponseWriter, id string) {
+	at := s.record.addf("%s turned away by %s", id, s.ID)
+	w.Header().Set(s.names.NotRun, "1")
+	if s.RestSeconds > 0 {
+		w.Header().Set(s.names.RetryAfter, strconv.Itoa(s.RestSeconds))
+	}
+	if s.OnRest != nil {
+		s.OnRest(id, at)
 	}
-	panic(http.ErrAbortHandler)
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// arrived records a request that begins to run, or hangs.
-func (s *server) arrived(id, what string) {
-	at := s.record.addf("%s %s at %s", id, what, s.ID)
+// arrived records a request that begins to run.
+func (s *server) arrived(id string) {
+	at := s.record.addf("%s runs at %s", id, s.ID)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{request: id, at: at})
 	s.mu.Unlock()
@@ -264,7 +265,7 @@
 
 // run works on a request and answers it.
 func (s *server) run(ctx context.Context, w http.ResponseWriter, id string) {
-	s.arrived(id, "runs")
+	s.arrived(id)
 	s.mu.Lock()
 	nextRun := s.nextRun
 	s.nextRun = nil
