--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -15,7 +15,7 @@
 	// fetchLimit is the clients' time limit and the route's.
 	fetchLimit = 10 * time.Second
 	fetchAim   = time.Second
-	fetchRate  = 110
+	fetchRate  = 140
 	fetchWork  = 200 * time.Millisecond
 	// Of fetchServers servers, shedServers turn shedShare of their requests away for shedTime, and
 	// slowServers work slowFactor times as long for slowTime, from slowAfter later on.
@@ -26,11 +26,11 @@
 	slowServers  = 2
 	slowFactor   = 12
 	slowTime     = 8 * time.Second
-	slowAfter    = 4 * time.Second
+	slowAfter    = 7 * time.Second
 	// drainAfter is when, after servers became slow, one of them announces that it is
 	// draining. drainTime is the bound of the settings. The server serves on for serveOn at least and
 	// maxServeOn at most, and ends exitDelay after the next request began to run.
-	drainAfter = 1500 * time.Millisecond
+	drainAfter = time.Second
 	drainTime  = 3 * time.Second
 	serveOn    = 3 * time.Second
 	maxServeOn = 6 * time.Second
