Log when a request under which upstreams crashed was last answered

Change: the report of crashes has the time since the last answer to the request, and the log line names it. No decision changes.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -48,7 +48,7 @@
 	}
 	f.gate.CallEnded(now, c.upstream.ID, max(0, e.Took-f.picker.PriorRTT(c.upstream)), e)
 	if e.Disconnected {
-		r.addDisconnected(c.upstream.Run())
+		r.addDisconnected(now, c.upstream.Run())
 	}
 	if e.Response != nil && e.Result != almondstep.CallMisdirected {
 		f.silent.answered(now, c.upstream)
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -98,7 +98,8 @@
 const maxDisconnected = 8
 
 // addDisconnected records an upstream that ended the connection while it had the request.
-func (r *request) addDisconnected(u almondstep.UpstreamRun) {
+func (r *request) addDisconnected(now almondstep.Instant, u almondstep.UpstreamRun) {
+	r.disconnectedAt = now
 	t := &r.trace
 	if len(t.Disconnected) < maxDisconnected {
 		t.Fingerprint = r.fingerprint()
@@ -125,5 +126,7 @@
 	if f.crashLimit > 0 {
 		crashed = crashed[:min(f.crashLimit, len(crashed))]
 	}
-	return append(out, &almondstep.RequestCrashed{Fingerprint: r.fingerprint(), Upstreams: crashed})
+	return append(out, &almondstep.RequestCrashed{
+		Fingerprint: r.fingerprint(), Upstreams: crashed, AnsweredAgo: f.answered.before(r.disconnectedAt, r.fingerprint()),
+	})
 }
--- a/forwarder/recent_answers.go
+++ b/forwarder/recent_answers.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// before returns the time between the last answer to a request and a later instant; 0 if no
+// answer is remembered.
+func (a *recentAnswers) before(at almondstep.Instant, f almondstep.Fingerprint) time.Duration {
+	answeredAt, known := a.answeredAt[f]
+	if !known {
+		return 0
+	}
+	return max(1, at.Sub(answeredAt))
+}
+
 // has reports whether an upstream has answered a request within answerMemory.
 func (a *recentAnswers) has(now almondstep.Instant, f almondstep.Fingerprint) bool {
 	at, known := a.answeredAt[f]
--- a/forwarder/region.go
+++ b/forwarder/region.go
@@ -184,7 +184,7 @@
 	} else if e.Reply != nil {
 		part.merged = e.Reply.Merged
 		for _, u := range e.Reply.Trace.Disconnected {
-			r.addDisconnected(u)
+			r.addDisconnected(now, u)
 		}
 		r.partUnanswered = e.Reply.Trace.Unanswered
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -40,6 +40,9 @@
 	regional *regionalPart
 	// partUnanswered lists the upstreams that have left that part unanswered.
 	partUnanswered []almondstep.UpstreamRun
+	// disconnectedAt is when an upstream last ended the connection while it had the request; 0
+	// if none has.
+	disconnectedAt almondstep.Instant
 	// timerAt is when the timer that is set expires; 0 if none is set.
 	timerAt almondstep.Instant
 	// knownFingerprint is 0 until it is needed.
--- a/message_crash.go
+++ b/message_crash.go
@@ -37,6 +37,9 @@
 type RequestCrashed struct {
 	Fingerprint Fingerprint   `json:"fingerprint"`
 	Upstreams   []UpstreamRun `json:"upstreams"`
+	// AnsweredAgo is the time between the last answer of an upstream to the same request, in
+	// this traffic thread, and the crash; 0 if none is remembered.
+	AnsweredAgo time.Duration `json:"answeredAgo,omitempty"`
 	CrashEvidence
 }
 
--- a/watcher/crashes.go
+++ b/watcher/crashes.go
@@ -19,17 +19,21 @@
 			continue
 		}
 		l.add(now, r, e.CrashEvidence)
-		out = append(out, w.reportCrash(now, e.Fingerprint, crashCause(r.Upstream, e.CrashEvidence)))
+		out = append(out, w.reportCrash(now, e.Fingerprint, crashCause(r.Upstream, e)))
 	}
 	return w.recordCrashes(now, w.publishAge(out))
 }
 
 // crashCause returns the evidence of a crash, for the log.
-func crashCause(run almondstep.UpstreamRun, e almondstep.CrashEvidence) string {
+func crashCause(run almondstep.UpstreamRun, e *almondstep.RequestCrashed) string {
 	if e.Silent() {
 		return "upstream " + string(run) + " has ended and left it unanswered, sent " + e.SentAgo.String() + " before"
 	}
-	return "upstream " + string(run) + " crashed under it"
+	cause := "upstream " + string(run) + " crashed under it"
+	if e.AnsweredAgo > 0 {
+		cause += ", " + e.AnsweredAgo.String() + " after it was last answered here"
+	}
+	return cause
 }
 
 // requestSurvived clears a request that an upstream has answered.
