Try a refused request again, and don't suspect one that was answered just before

What callers saw: after one crash of all servers of a service, a request that many of them send was refused by all daemons for ten minutes, while other requests to the same servers were served.

Cause: the request was in flight at three servers when these were lost. The end of a connection alone counted as evidence, and once a request is refused it reaches no server, so that no answer can clear it.

Change: a crash doesn't count against a request that was answered in the 3 s before, here or, by the report of the daemon that has answered it, elsewhere. A refused request is tried: one daemon claims the trial in the registry and sends one call, 6 s after an outage of all servers and a minute after crashes beside which others ran on; three trials at most, which is what the rule allows a request that crashes servers. Retry-After is the time to the next trial.

Why it works: what was served a moment ago is never refused, and whatever is refused wrongly reaches a server again without any request reaching more than three after it is known.

--- a/directory.go
+++ b/directory.go
@@ -56,6 +56,8 @@
 type RunEnd struct {
 	// At is when this daemon learned of it.
 	At Instant
+	// Service is that of the upstream.
+	Service ServiceName
 	// Replaced is set if the entry of a later run replaced that of this one.
 	Replaced bool
 }
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -37,7 +37,10 @@
 		return r, append(out, refusal)
 	}
 	if f.quarantined(r) {
-		return r, append(out, f.refuseQuarantined(r))
+		if !f.wantsTrial(now, r) {
+			return r, append(out, f.refuseQuarantined(now, r))
+		}
+		r.trial = trialWanted
 	}
 	r.setDeadlines(cmp.Or(e.At, now), e.Remaining)
 	f.observeLag(now, r)
@@ -54,6 +57,9 @@
 // dispatch delegates the request, or sends its calls. If a request was admitted for delegation only
 // and no delegate is usable, admission decides anew: this daemon then makes all its calls.
 func (f *Forwarder) dispatch(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
+	if r.trial == trialWanted {
+		return f.claimTrial(now, r, out)
+	}
 	if f.delegate(now, r, &out) {
 		f.requests[r.id] = r
 		return r.setTimer(now, out)
@@ -94,6 +100,10 @@
 	}
 	r.trace.Missing = nil
 	f.requests[r.id] = r
+	if r.trial == trialClaimed {
+		f.sendTrial(now, r, &out)
+		return f.proceed(now, r, out)
+	}
 	f.delegatePart(now, r, &out)
 	for i := range r.shards {
 		f.sendFirst(now, r, i, &out)
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -28,9 +28,13 @@
 	return f.view.HasSuspects() && f.view.Quarantined(r.fingerprint())
 }
 
-// refuseQuarantined refuses a request that is in quarantine.
-func (f *Forwarder) refuseQuarantined(r *request) *almondstep.ReplyRequest {
-	refusal := refuse(r.id, almondstep.CodeQuarantined, f.crashMemory)
+// refuseQuarantined refuses a request that is in quarantine until its next trial may begin.
+func (f *Forwarder) refuseQuarantined(now almondstep.Instant, r *request) *almondstep.ReplyRequest {
+	after := f.crashMemory
+	if next, ok := f.view.Trial(r.fingerprint()); ok {
+		after = max(next.At.Sub(now), trialUnderWay)
+	}
+	refusal := refuse(r.id, almondstep.CodeQuarantined, after)
 	refusal.Reply.Trace = r.trace
 	refusal.Reply.Trace.Fingerprint = r.fingerprint()
 	return refusal
@@ -51,6 +55,9 @@
 // suspectsCause reports whether so many upstreams have crashed under the request, here
 // and before, and none has answered it, that it must be taken for the cause.
 func (f *Forwarder) suspectsCause(r *request) bool {
+	if r.awaitsTrial() {
+		return true
+	}
 	own := len(r.trace.Disconnected)
 	if f.crashLimit == 0 || own == 0 || r.survived() {
 		return false
@@ -88,7 +95,11 @@
 			continue
 		}
 		s.held = false
-		if !s.settled && !s.hasPendingCall() {
+		switch {
+		case s.settled || s.hasPendingCall():
+		case len(s.calls) == 0 && !f.suspectsCause(r):
+			f.sendFirst(now, r, i, out)
+		default:
 			f.retryOrHold(now, r, i, out)
 		}
 	}
@@ -108,7 +119,7 @@
 }
 
 // reportCrashes reports, at the end of a request, the upstreams that crashed under it if
-// none has answered it, or that it is cleared. The part that a regional delegate answers
+// none has answered it, now or shortly before, or that it is cleared. The part that a regional delegate answers
 // is judged by the daemon that sent it, which has the other parts.
 func (f *Forwarder) reportCrashes(r *request, out []almondstep.Effect) []almondstep.Effect {
 	switch {
@@ -119,7 +130,7 @@
 			return append(out, &almondstep.RequestSurvived{Fingerprint: r.fingerprint()})
 		}
 		return out
-	case len(r.trace.Disconnected) == 0:
+	case len(r.trace.Disconnected) == 0 || f.answered.since(r.disconnectedAt.Add(-answeredLately), r.fingerprint()):
 		return out
 	}
 	crashed := r.trace.Disconnected
--- a/forwarder/crashes_test.go
+++ b/forwarder/crashes_test.go
@@ -155,6 +155,41 @@
 	}
 }
 
+// Guards against CONFIG: upstreams are lost with a request that they answered just before, and it
+// is refused as if it had crashed them. A request that is answered no longer is suspected.
+func TestRequestAnsweredJustBeforeIsTakenForTheCause(t *testing.T) {
+	for ago, want := range map[time.Duration]int{time.Second: 0, 10 * time.Second: 1} {
+		t.Run(ago.String(), func(t *testing.T) {
+			w := newHarness(t, crashConfig(), directory(t, 1, nil))
+			w.request(1, "/one/x")
+			w.end(w.calls[0], almondstep.CallDone, record('a'))
+			w.advance(ago)
+			w.request(2, "/one/x")
+			for i := 1; i < len(w.calls); i++ {
+				w.disconnect(w.calls[i])
+			}
+			if got := len(w.crashed); got != want {
+				t.Errorf("got %d reports, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Guards against CONFIG: a daemon that answered a request just before others saw upstreams crash
+// under it doesn't say so, and all refuse it.
+func TestSuspectThatWasAnsweredHereIsCleared(t *testing.T) {
+	w := newHarness(t, crashConfig(), directory(t, 1, nil))
+	w.request(1, "/one/x")
+	w.end(w.calls[0], almondstep.CallDone, record('a'))
+	w.advance(time.Second)
+	w.suspected("/one/x", 3, true)
+	w.reduce(&almondstep.ViewChanged{})
+	w.reduce(&almondstep.ViewChanged{})
+	if got, want := w.survived, 1; got != want {
+		t.Errorf("got %d reports that it survived, want %d", got, want)
+	}
+}
+
 // A daemon that answers a part for another region reports no crashes itself, but returns
 // them; the daemon that has the other parts judges.
 func TestRegionalPartReturnsItsCrashes(t *testing.T) {
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -18,6 +18,9 @@
 	if r.quota == quotaAsked {
 		return f.quotaTimer(now, r, out)
 	}
+	if r.trial == trialAsked {
+		return f.trialTimer(now, r, out)
+	}
 	if r.admission.waiting {
 		return f.checkWaiting(now, r, out)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,7 +57,11 @@
 	silent    silentUpstreams
 	answered  recentAnswers
 	rollouts  rolloutSplits
-	gate      *admitter.Gate
+	// suspects are those of the last view.
+	suspects map[almondstep.Fingerprint]int
+	// trialsAt has, for refused requests, when this thread may claim a trial again.
+	trialsAt map[almondstep.Fingerprint]almondstep.Instant
+	gate     *admitter.Gate
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -126,6 +130,8 @@
 		return f.gatherEnded(now, e, out)
 	case *almondstep.QuotaDecided:
 		return f.quotaDecided(now, e, out)
+	case *almondstep.TrialClaimed:
+		return f.trialDecided(now, e, out)
 	case *almondstep.RTTMeasured:
 		f.rttMeasured(now, e)
 	case *almondstep.RequestTimer:
@@ -144,7 +150,8 @@
 			out = f.reportSilentCrashes(now, out)
 			out = f.rollouts.update(d, out)
 		}
-		return f.capDeadlines(now, out)
+		f.forgetTrials()
+		return f.capDeadlines(now, f.clearAnswered(now, out))
 	}
 	return out
 }
--- a/forwarder/harness_test.go
+++ b/forwarder/harness_test.go
@@ -38,6 +38,9 @@
 	// crashed lists the reports of crashes, survived counts those that a request survived.
 	crashed  []*almondstep.RequestCrashed
 	survived int
+	// claims lists the claims of trials, released counts those that were released.
+	claims   []*almondstep.ClaimTrial
+	released int
 	// quotas lists the asks for quota, returned counts what was returned.
 	quotas   []*almondstep.RequestQuota
 	returned int
@@ -85,6 +88,10 @@
 			w.crashed = append(w.crashed, f)
 		case *almondstep.RequestSurvived:
 			w.survived++
+		case *almondstep.ClaimTrial:
+			w.claims = append(w.claims, f)
+		case *almondstep.TrialReleased:
+			w.released++
 		case *almondstep.RequestQuota:
 			w.quotas = append(w.quotas, f)
 		case *almondstep.ReturnQuota:
--- a/forwarder/recent_answers.go
+++ b/forwarder/recent_answers.go
@@ -52,6 +52,12 @@
 	return max(1, at.Sub(answeredAt))
 }
 
+// since reports whether an upstream has answered a request at an instant or later.
+func (a *recentAnswers) since(at almondstep.Instant, f almondstep.Fingerprint) bool {
+	answeredAt, known := a.answeredAt[f]
+	return known && answeredAt >= at
+}
+
 // has reports whether an upstream has answered a request within answerMemory.
 func (a *recentAnswers) has(now almondstep.Instant, f almondstep.Fingerprint) bool {
 	at, known := a.answeredAt[f]
--- a/forwarder/silence_seeds_test.go
+++ b/forwarder/silence_seeds_test.go
@@ -51,6 +51,13 @@
 	// crashed.
 	crashes []almondstep.Instant
 	served  int
+	// refused has the times at which sound requests were refused as those that crash servers;
+	// such a refusal is a failure if none may be refused at all.
+	refused    []almondstep.Instant
+	mayRefuse  bool
+	loud       bool
+	claimed    map[almondstep.CrashRecord]bool
+	lastDownAt almondstep.Instant
 }
 
 // simDaemon is one daemon's traffic thread.
@@ -96,7 +103,7 @@
 func newSim(t *testing.T, seed uint64) *sim {
 	t.Helper()
 	s := &sim{
-		t: t, rng: rand.New(rand.NewPCG(seed, 32)), now: almondstep.Instant(time.Second),
+		t: t, rng: rand.New(rand.NewPCG(seed, 32)), now: almondstep.Instant(time.Second), claimed: map[almondstep.CrashRecord]bool{},
 		control: watcher.New(watcher.Config{Self: "a", Zone: "z0", MaxAge: time.Hour}), view: almondstep.NewView(almondstep.ViewSpec{}),
 	}
 	for i := range simZones * simPerZone {
@@ -170,6 +177,9 @@
 		case *almondstep.PublishView:
 			s.view = effect.View
 		case *almondstep.RecordCrashes:
+			for _, r := range effect.Remove {
+				delete(s.claimed, r)
+			}
 			s.after(0, func() { s.reduceControl(&almondstep.CrashesRecorded{RecordCrashes: *effect}) })
 		}
 	}
@@ -194,6 +204,12 @@
 			s.after(registryDelay, func() { s.reduceControl(effect) })
 		case *almondstep.RequestSurvived:
 			s.after(registryDelay, func() { s.reduceControl(effect) })
+		case *almondstep.TrialBegan:
+			s.after(registryDelay, func() { s.reduceControl(effect) })
+		case *almondstep.TrialReleased:
+			s.after(registryDelay, func() { s.reduceControl(effect) })
+		case *almondstep.ClaimTrial:
+			s.after(time.Millisecond, func() { s.claim(d, effect) })
 		case *almondstep.ReplyRequest:
 			if reply := d.waiting[effect.ID]; reply != nil {
 				delete(d.waiting, effect.ID)
@@ -203,6 +219,16 @@
 	}
 }
 
+// claim writes the record of a trial if there is none.
+func (s *sim) claim(d *simDaemon, c *almondstep.ClaimTrial) {
+	e := &almondstep.TrialClaimed{ID: c.ID, Record: c.Record}
+	if s.claimed[c.Record] {
+		e.Err = "another write came first"
+	}
+	s.claimed[c.Record] = true
+	s.reduce(d, e)
+}
+
 // send delivers a call to the server, unless that is silent.
 func (s *sim) send(d *simDaemon, c *almondstep.SendCall) {
 	d.open[c.Call] = c
@@ -224,6 +250,9 @@
 // the same run then.
 func (s *sim) arrive(d *simDaemon, c *almondstep.SendCall, server *simServer, sentAt almondstep.Instant) {
 	if server == nil || server.silent && server.silentUntil == 0 {
+		if s.loud {
+			s.end(d, c.Call, almondstep.CallRefused, sentAt)
+		}
 		return
 	}
 	run := server.run
@@ -251,6 +280,7 @@
 	}
 	delete(d.open, id)
 	e := &almondstep.CallEnded{ID: c.ID, Call: id, Result: result, Took: s.now.Sub(sentAt)}
+	e.Disconnected = result == almondstep.CallBroken
 	if result == almondstep.CallDone {
 		e.Response = &almondstep.ResponseMessage{Status: 200, Signature: "s"}
 	}
@@ -260,6 +290,10 @@
 // crash ends a server's run silently. The next one has its ID or another.
 func (s *sim) crash(server *simServer, keepsID bool) {
 	old := server.upstream.ID
+	s.lastDownAt = s.now
+	if s.loud {
+		s.disconnect(server)
+	}
 	server.run++
 	run := server.run
 	server.silent, server.silentUntil = true, 0
@@ -277,6 +311,22 @@
 	})
 }
 
+// disconnect ends the calls that a server has, as a process that crashes does.
+func (s *sim) disconnect(server *simServer) {
+	for _, d := range s.daemons {
+		var ended []almondstep.CallID
+		for id, c := range d.open {
+			if c.Upstream.ID == server.upstream.ID {
+				ended = append(ended, id)
+			}
+		}
+		slices.Sort(ended)
+		for _, id := range ended {
+			s.after(0, func() { s.end(d, id, almondstep.CallBroken, s.now) })
+		}
+	}
+}
+
 // freeze silences a server for a while, in one run. Its entry lapses if that takes longer
 // than entryTTL.
 func (s *sim) freeze(server *simServer, d time.Duration) {
@@ -351,7 +401,10 @@
 	d.waiting[id] = func(r *almondstep.Reply) {
 		switch {
 		case r.Code == almondstep.CodeQuarantined && target != crashPath:
-			s.t.Errorf("%v: sound request %s is refused as one that crashes upstreams", time.Duration(s.now), target)
+			s.refused = append(s.refused, s.now)
+			if !s.mayRefuse {
+				s.t.Errorf("%v: sound request %s is refused as one that crashes upstreams", time.Duration(s.now), target)
+			}
 		case r.Outcome == almondstep.OutcomeComplete:
 			s.served++
 		case tries > 1 && target != crashPath:
--- a/message_crash.go
+++ b/message_crash.go
@@ -1,6 +1,10 @@
 package almondstep
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
 
 // CrashRecord is a record, in the platform's registry, that a run of an upstream crashed
 // under a request.
@@ -9,6 +13,27 @@
 	Upstream    UpstreamRun `json:"upstream"`
 }
 
+// trialRun begins the run in the record of a trial. No upstream has an empty ID.
+const trialRun = "@trial"
+
+// TrialRecord returns the record of a request's trial with a number, from 1 on. It is written
+// before the trial's call, and counts as a crash until an upstream answers the request.
+func TrialRecord(f Fingerprint, number int) CrashRecord {
+	return CrashRecord{Fingerprint: f, Upstream: UpstreamRun(trialRun + strconv.Itoa(number))}
+}
+
+// IsTrial reports whether the record is that of a trial.
+func (r CrashRecord) IsTrial() bool { return strings.HasPrefix(string(r.Upstream), trialRun) }
+
+// Trial is the next trial of a quarantined request: one call, by one daemon, which shows whether
+// the request crashes upstreams.
+type Trial struct {
+	// Number counts the trials of the request, from 1 on.
+	Number int `json:"number"`
+	// At is when it may begin.
+	At Instant `json:"at"`
+}
+
 // CrashEvidence is what is known of a crash that no connection has shown: an upstream fell
 // silent while it had a request, and the registry has shown since that this run has ended.
 // It is zero for a crash that ended the connection.
@@ -49,6 +74,34 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 }
 
+// ClaimTrial claims the trial of a quarantined request, by writing its record if no other daemon
+// has. The outcome is returned as TrialClaimed.
+type ClaimTrial struct {
+	ID     QueryID     `json:"id"`
+	Record CrashRecord `json:"record"`
+	// Timeout is the time after which the claim is abandoned.
+	Timeout time.Duration `json:"timeout"`
+}
+
+// TrialClaimed is the outcome of a ClaimTrial.
+type TrialClaimed struct {
+	ID     QueryID     `json:"id"`
+	Record CrashRecord `json:"record"`
+	// Err is empty if this daemon has the trial; otherwise another daemon may have it, or none.
+	Err string `json:"err,omitempty"`
+}
+
+// TrialBegan reports to the control thread that this daemon has claimed a trial.
+type TrialBegan struct {
+	Record CrashRecord `json:"record"`
+}
+
+// TrialReleased reports to the control thread that a trial that was claimed has reached no
+// upstream, so that its record is to be removed.
+type TrialReleased struct {
+	Record CrashRecord `json:"record"`
+}
+
 // RecordCrashes adds and removes records in the registry. The outcome is returned as
 // CrashesRecorded.
 type RecordCrashes struct {
@@ -69,6 +122,21 @@
 // Kind names the effect and the event.
 func (*RequestSurvived) Kind() string { return "requestSurvived" }
 
+// Kind names the effect.
+func (*ClaimTrial) Kind() string { return "claimTrial" }
+
+// Kind names the event.
+func (*TrialClaimed) Kind() string { return "trialClaimed" }
+
+// Kind names the effect and the event.
+func (*TrialBegan) Kind() string { return "trialBegan" }
+
+// Kind names the effect and the event.
+func (*TrialReleased) Kind() string { return "trialReleased" }
+
+// Query returns the ID of the request the event belongs to.
+func (e *TrialClaimed) Query() QueryID { return e.ID }
+
 // Kind names the effect.
 func (*RecordCrashes) Kind() string { return "recordCrashes" }
 
@@ -83,5 +151,13 @@
 // an event.
 func (*RequestSurvived) Control() {}
 
+// Control implements ControlEvent: the effect is returned to the control partition as
+// an event.
+func (*TrialBegan) Control() {}
+
+// Control implements ControlEvent: the effect is returned to the control partition as
+// an event.
+func (*TrialReleased) Control() {}
+
 // Control implements ControlEvent.
 func (*CrashesRecorded) Control() {}
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -82,6 +82,12 @@
 		r.control.push(f)
 	case *almondstep.RequestSurvived:
 		r.control.push(f)
+	case *almondstep.TrialBegan:
+		r.control.push(f)
+	case *almondstep.TrialReleased:
+		r.control.push(f)
+	case *almondstep.ClaimTrial:
+		r.background(func(ctx context.Context) { r.claimTrial(ctx, f) })
 	case *almondstep.RolloutDecided:
 		r.control.push(f)
 	default:
--- a/runner/registry.go
+++ b/runner/registry.go
@@ -86,3 +86,13 @@
 	}
 	r.control.push(e)
 }
+
+func (r *Runner) claimTrial(ctx context.Context, f *almondstep.ClaimTrial) {
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	defer cancel()
+	e := &almondstep.TrialClaimed{ID: f.ID, Record: f.Record}
+	if err := r.Registry.ClaimTrial(ctx, f.Record); err != nil {
+		e.Err = err.Error()
+	}
+	r.deliver(e)
+}
--- a/view.go
+++ b/view.go
@@ -14,6 +14,7 @@
 	owned               map[Address]OwnedUpstream
 	quarantined         map[Fingerprint]struct{}
 	crashes             map[Fingerprint]int
+	trials              map[Fingerprint]Trial
 	peers               map[DaemonID]Address
 	stopping            bool
 	answerBy            Instant
@@ -143,7 +144,9 @@
 	Quarantined map[Fingerprint]struct{}
 	// Crashes is the number of upstreams that crashed under each suspect request.
 	Crashes map[Fingerprint]int
-	Peers   map[DaemonID]Address
+	// Trials holds the next trials of quarantined requests that have one left.
+	Trials map[Fingerprint]Trial
+	Peers  map[DaemonID]Address
 	// Stopping is set while the daemon shuts down; it then refuses new forwarded
 	// work.
 	Stopping bool
@@ -177,6 +180,7 @@
 		owned:               spec.Owned,
 		quarantined:         spec.Quarantined,
 		crashes:             spec.Crashes,
+		trials:              spec.Trials,
 		peers:               spec.Peers,
 		stopping:            spec.Stopping,
 		answerBy:            spec.AnswerBy,
@@ -246,6 +250,16 @@
 // known; 0 if the request isn't suspect.
 func (v *View) Crashes(f Fingerprint) int { return v.crashes[f] }
 
+// Suspects returns the number of upstreams that crashed under each suspect request. The caller
+// must not change it.
+func (v *View) Suspects() map[Fingerprint]int { return v.crashes }
+
+// Trial returns the next trial of a quarantined request, and whether it has one left.
+func (v *View) Trial(f Fingerprint) (Trial, bool) {
+	t, ok := v.trials[f]
+	return t, ok
+}
+
 // HasSuspects reports whether upstreams crashed under any request.
 func (v *View) HasSuspects() bool { return len(v.crashes) > 0 }
 
--- a/watcher/crash_log.go
+++ b/watcher/crash_log.go
@@ -48,6 +48,8 @@
 	// evidence has the evidence of the records in own, to write them again.
 	evidence   map[almondstep.CrashRecord]almondstep.CrashEvidence
 	observedAt map[almondstep.CrashRecord]almondstep.Instant
+	// services has the services of the runs in observedAt that were listed then.
+	services map[almondstep.UpstreamRun]almondstep.ServiceName
 	// toAdd and toRemove are to be written next, from nextAt on; writing is whether a
 	// write is pending.
 	toAdd    []almondstep.CrashChange
@@ -70,6 +72,7 @@
 		quarantine: quarantiner.Quarantine{Limit: CrashLimit, MaxCrashes: maxCrashes, Duration: CrashMemory, MaxRequests: maxSuspects},
 		records:    make(map[almondstep.CrashRecord]crashEntry),
 		observedAt: make(map[almondstep.CrashRecord]almondstep.Instant),
+		services:   make(map[almondstep.UpstreamRun]almondstep.ServiceName),
 		evidence:   make(map[almondstep.CrashRecord]almondstep.CrashEvidence),
 		retry:      minAnnounceRetry,
 	}
@@ -94,17 +97,9 @@
 
 // add queues a record. Beyond maxOwnRecords, one of this daemon's is removed.
 func (l *crashLog) add(now almondstep.Instant, r almondstep.CrashRecord, e almondstep.CrashEvidence) {
-	l.observe(now, r)
 	l.evidence[r] = e
 	l.toAdd = append(l.toAdd, almondstep.CrashChange{CrashRecord: r, CrashEvidence: e})
-	if l.isOwn(r) {
-		return
-	}
-	l.own = append(l.own, r)
-	if len(l.own) > maxOwnRecords {
-		isFree := func(r almondstep.CrashRecord) bool { return l.quarantine.Crashes()[r.Fingerprint] < CrashLimit }
-		l.remove(l.own[max(0, slices.IndexFunc(l.own, isFree))])
-	}
+	l.hold(now, r)
 }
 
 // remove queues the removal of a record, unless it hasn't been written yet.
@@ -174,8 +169,12 @@
 
 // forget drops when a record was observed, once neither the registry nor this daemon has it.
 func (l *crashLog) forget(r almondstep.CrashRecord) {
-	if _, listed := l.records[r]; !listed && !slices.Contains(l.own, r) {
-		delete(l.observedAt, r)
+	if _, listed := l.records[r]; listed || slices.Contains(l.own, r) {
+		return
+	}
+	delete(l.observedAt, r)
+	if len(l.under(r.Upstream)) == 0 {
+		delete(l.services, r.Upstream)
 	}
 }
 
--- a/watcher/crashes.go
+++ b/watcher/crashes.go
@@ -18,6 +18,7 @@
 		if !l.quarantine.Add(now, r.Fingerprint, r.Upstream, e.CrashEvidence) {
 			continue
 		}
+		w.noteService(u)
 		l.add(now, r, e.CrashEvidence)
 		out = append(out, w.reportCrash(now, e.Fingerprint, crashCause(r.Upstream, e)))
 	}
@@ -45,6 +46,7 @@
 	for _, r := range l.of(e.Fingerprint) {
 		l.quarantine.Remove(now, r.Fingerprint, r.Upstream)
 		l.remove(r)
+		l.forget(r)
 	}
 	out = append(out, w.report("request cleared", e.Fingerprint.String(), "an upstream answered it", w.revision))
 	return w.recordCrashes(now, w.publishAge(out))
@@ -104,6 +106,7 @@
 		}
 		if !known {
 			held.removeAt = now.Add(CrashMemory)
+			w.noteService(c.Upstream)
 			l.observe(now, c.CrashRecord)
 		}
 		held.revision = c.Revision
--- a/watcher/ended.go
+++ b/watcher/ended.go
@@ -62,7 +62,7 @@
 // run has ended.
 func (w *Watcher) dropEntry(now almondstep.Instant, key string) {
 	if held := w.listing.entries[key]; held != nil && !held.upstream.Leaving {
-		w.ended.add(held.upstream.Run(), almondstep.RunEnd{At: now})
+		w.ended.add(held.upstream.Run(), almondstep.RunEnd{At: now, Service: held.upstream.Service})
 	}
 	w.listing.drop(key)
 }
@@ -73,9 +73,9 @@
 	run := c.Upstream.Run()
 	held := w.listing.entries[c.Key]
 	if held != nil && !held.upstream.Leaving && held.upstream.Run() != run {
-		w.ended.add(held.upstream.Run(), almondstep.RunEnd{At: now, Replaced: true})
+		w.ended.add(held.upstream.Run(), almondstep.RunEnd{At: now, Service: held.upstream.Service, Replaced: true})
 	}
-	w.listing.put(c.Key, c.Upstream, c.Revision)
+	w.listing.put(w.listedSince(now), c.Key, c.Upstream, c.Revision)
 	// Without a stated start, a run that is back can't be told from a new one.
 	if w.ended.remove(run) && !c.Upstream.Started.IsZero() {
 		return w.runIsBack(now, run, out)
--- a/watcher/listing.go
+++ b/watcher/listing.go
@@ -24,6 +24,8 @@
 type entry struct {
 	upstream *almondstep.Upstream
 	revision uint64
+	// runSince is when this daemon first listed the run; 0 if the run is in the first listing.
+	runSince almondstep.Instant
 	// dropAt is when a lapsed entry is dropped; 0 if it isn't lapsed.
 	dropAt almondstep.Instant
 	// leavingSince is the era in which the upstream was first listed as leaving, if it is.
@@ -41,10 +43,13 @@
 }
 
 // put adds or replaces the entry of an upstream.
-func (l *listing) put(key string, u *almondstep.Upstream, revision uint64) {
-	e := &entry{upstream: u, revision: revision, leavingSince: almondstep.EraOf(revision)}
-	if held := l.entries[key]; held != nil && held.upstream.Leaving && held.upstream.Run() == u.Run() {
-		e.leavingSince = held.leavingSince
+func (l *listing) put(now almondstep.Instant, key string, u *almondstep.Upstream, revision uint64) {
+	e := &entry{upstream: u, revision: revision, runSince: now, leavingSince: almondstep.EraOf(revision)}
+	if held := l.entries[key]; held != nil && held.upstream.Run() == u.Run() {
+		e.runSince = held.runSince
+		if held.upstream.Leaving {
+			e.leavingSince = held.leavingSince
+		}
 	}
 	l.drop(key)
 	l.entries[key] = e
--- /dev/null
+++ b/watcher/trials.go
@@ -0,0 +1,164 @@
+package watcher
+
+import (
+	"slices"
+	"time"
+
+	"almondstep"
+)
+
+const (
+	// maxTrials is the number of trials of a quarantined request: each may crash an upstream.
+	maxTrials = 3
+	// trialDelay is the time from the last crash, or trial, to the next trial of a request whose
+	// crashes may be those of an outage of its upstreams. It doubles with each trial.
+	trialDelay = 6 * time.Second
+	// unlikelyTrialDelay is that of a request under which upstreams crashed while others of the
+	// same service ran on: they would have answered a request that isn't the cause.
+	unlikelyTrialDelay = time.Minute
+	// outageSpan is the time within which the crashes of one outage are observed.
+	outageSpan = 4 * time.Second
+)
+
+// crashHistory is what the records of a quarantined request say together.
+type crashHistory struct {
+	runs   map[almondstep.UpstreamRun]bool
+	trials int
+	// lastAt is when this daemon learned of the last crash or trial, and lastCrashAt of the last
+	// crash.
+	lastAt      almondstep.Instant
+	lastCrashAt almondstep.Instant
+}
+
+func (h *crashHistory) add(r almondstep.CrashRecord, at almondstep.Instant) {
+	h.lastAt = max(h.lastAt, at)
+	if r.IsTrial() {
+		h.trials++
+		return
+	}
+	h.lastCrashAt = max(h.lastCrashAt, at)
+	h.runs[r.Upstream] = true
+}
+
+// trials returns the next trials of the quarantined requests that have one left. A request that
+// was in flight when all upstreams of its service were lost looks like one that crashes them, and
+// as long as it is refused no upstream can answer it: a trial shows which it is.
+//
+// Example: three upstreams crash under a request, and the service has no others. 6 s later one
+// daemon sends it once. If it is answered, all daemons serve it again; if not, the next trial
+// begins 12 s later.
+func (w *Watcher) trials() map[almondstep.Fingerprint]almondstep.Trial {
+	histories := w.crashes.histories()
+	if len(histories) == 0 {
+		return nil
+	}
+	trials := make(map[almondstep.Fingerprint]almondstep.Trial, len(histories))
+	for f, h := range histories {
+		if h.trials >= maxTrials {
+			continue
+		}
+		delay := trialDelay
+		if w.othersRanOn(h) {
+			delay = unlikelyTrialDelay
+		}
+		trials[f] = almondstep.Trial{Number: h.trials + 1, At: h.lastAt.Add(delay << h.trials)}
+	}
+	return trials
+}
+
+// histories returns the histories of the quarantined requests.
+func (l *crashLog) histories() map[almondstep.Fingerprint]*crashHistory {
+	quarantined := l.quarantine.Requests()
+	if len(quarantined) == 0 {
+		return nil
+	}
+	all := make(map[almondstep.Fingerprint]*crashHistory, len(quarantined))
+	for r, at := range l.observedAt {
+		if _, ok := quarantined[r.Fingerprint]; !ok {
+			continue
+		}
+		if all[r.Fingerprint] == nil {
+			all[r.Fingerprint] = &crashHistory{runs: make(map[almondstep.UpstreamRun]bool)}
+		}
+		all[r.Fingerprint].add(r, at)
+	}
+	return all
+}
+
+// othersRanOn reports whether an upstream of the services whose upstreams crashed under a request
+// has run since before the crashes, and not crashed under it.
+func (w *Watcher) othersRanOn(h *crashHistory) bool {
+	services := make(map[almondstep.ServiceName]bool)
+	for run := range h.runs {
+		if service, known := w.crashes.services[run]; known {
+			services[service] = true
+		}
+	}
+	for _, e := range w.listing.entries {
+		ranBefore := e.runSince.Add(outageSpan) < h.lastCrashAt
+		if ranBefore && services[e.upstream.Service] && !h.runs[e.upstream.Run()] {
+			return true
+		}
+	}
+	return false
+}
+
+// listedSince returns the time since which a run that is listed now counts as listed: 0, which is
+// before all crashes, in the first listing.
+func (w *Watcher) listedSince(now almondstep.Instant) almondstep.Instant {
+	if w.directory == nil {
+		return 0
+	}
+	return now
+}
+
+// noteService remembers the service of a run that crashed, which is listed or has ended lately.
+func (w *Watcher) noteService(run almondstep.UpstreamRun) {
+	l := &w.crashes
+	if _, known := l.services[run]; known {
+		return
+	}
+	if end, ended := w.ended.runs[run]; ended {
+		l.services[run] = end.Service
+		return
+	}
+	for _, e := range w.listing.entries {
+		if e.upstream.Run() == run {
+			l.services[run] = e.upstream.Service
+			return
+		}
+	}
+}
+
+// trialBegan counts a trial of this daemon, whose record the registry has.
+func (w *Watcher) trialBegan(now almondstep.Instant, e *almondstep.TrialBegan, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	l.hold(now, e.Record)
+	l.quarantine.Add(now, e.Record.Fingerprint, e.Record.Upstream, almondstep.CrashEvidence{})
+	out = append(out, w.report("refused request is tried", e.Record.Fingerprint.String(), string(e.Record.Upstream), w.revision))
+	return w.publishAge(out)
+}
+
+// trialReleased removes the record of a trial that has reached no upstream.
+func (w *Watcher) trialReleased(now almondstep.Instant, e *almondstep.TrialReleased, out []almondstep.Effect) []almondstep.Effect {
+	l := &w.crashes
+	l.quarantine.Remove(now, e.Record.Fingerprint, e.Record.Upstream)
+	l.remove(e.Record)
+	l.forget(e.Record)
+	out = append(out, w.report("refused request couldn't be tried", e.Record.Fingerprint.String(), string(e.Record.Upstream), w.revision))
+	return w.recordCrashes(now, w.publishAge(out))
+}
+
+// hold adds a record that this daemon has written to its own. Beyond maxOwnRecords, one of them
+// is removed.
+func (l *crashLog) hold(now almondstep.Instant, r almondstep.CrashRecord) {
+	l.observe(now, r)
+	if l.isOwn(r) {
+		return
+	}
+	l.own = append(l.own, r)
+	if len(l.own) > maxOwnRecords {
+		isFree := func(r almondstep.CrashRecord) bool { return l.quarantine.Crashes()[r.Fingerprint] < CrashLimit }
+		l.remove(l.own[max(0, slices.IndexFunc(l.own, isFree))])
+	}
+}
