--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -87,11 +87,13 @@
 }
 
 // reportUpstream logs whether an upstream gets new requests after a change of its
-// entry. before is the entry replaced or removed by the change; nil if there was none.
+// entry, or is cold again. before is the entry replaced or removed by the change; nil if there was none.
 func (w *Watcher) reportUpstream(c almondstep.UpstreamChange, before *entry, out []almondstep.Effect) []almondstep.Effect {
 	u := c.Upstream
 	message := "upstream gets requests"
 	switch {
+	case u != nil && before != nil && isColdAgain(u, before.upstream):
+		return append(out, w.report("upstream is cold again", string(u.ID), "for "+u.ColdFor.String(), c.Revision))
 	case u != nil && before != nil && before.dropAt == 0 && u.Leaving == before.upstream.Leaving:
 		return out
 	case u == nil:
@@ -104,6 +106,11 @@
 	return append(out, w.report(message, string(u.ID), cause, c.Revision))
 }
 
+// isColdAgain reports whether an upstream that was warm has become cold without a restart.
+func isColdAgain(u, before *almondstep.Upstream) bool {
+	return u.ColdFor > 0 && before.ColdFor == 0 && u.Run() == before.Run()
+}
+
 // applyRoutes applies a table that is newer than the cached one, ignores any other, and
 // reports whether it was applied.
 func (w *Watcher) applyRoutes(t *almondstep.RouteTable) bool {
