Take the cold time of an upstream from each of its entries

What callers saw: a server that said it was cold again went on getting its full rate and crashed; the requests that it had were answered 502.

Cause: the picker took the cold time from an entry only when it created the state of a run. A later entry of the same run changed nothing.

Change: the newest entry counts, from when it was first read, and beside it what an answer states. A request of an earlier directory doesn't bring back the state of an earlier run. The calls before a server became cold count in its first second, and a daemon that has just started waits for one. Where a daemon's share is below one call, the first daemons in an order for each upstream have one each, since a group of cold upstreams got nothing in a large fleet.

Why it works: the rate is limited by what the server last said, whoever sends the call and whenever its request began.

TestColdUpstreamGetsNoMoreThanLimit: 1 to 295 daemons hold the limit and use half of the rate or more.

--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -1,6 +1,7 @@
 package budgeter_test
 
 import (
+	"fmt"
 	"math/rand"
 	"testing"
 	"time"
@@ -83,31 +84,64 @@
 	}
 }
 
-// All daemons together send no more calls to a cold upstream than its limit in any
-// second.
+// All daemons together send no more calls to a cold upstream than its limit in any second, however
+// many they are, and use at least half of the configured rate. Before it becomes cold they call it
+// without a limit.
 func TestColdUpstreamGetsNoMoreThanLimit(t *testing.T) {
 	const (
-		daemons = 6
-		rate    = 20
-		factor  = 1.5
-		slack   = 5
+		factor = 1.5
+		slack  = 5
+		coldAt = 2 * time.Second
+		end    = 8 * time.Second
 	)
-	colds := make([]*budgeter.ColdLimiter, daemons)
-	for i := range colds {
-		colds[i] = &budgeter.ColdLimiter{Factor: factor, Slack: slack}
+	for _, c := range []struct {
+		daemons int
+		rate    float64
+	}{{1, 5}, {6, 20}, {6, 5}, {13, 5}, {30, 20}, {295, 5}, {295, 100}} {
+		t.Run(fmt.Sprint(c.daemons, " daemons, ", c.rate, " a second"), func(t *testing.T) {
+			rng := rand.New(rand.NewSource(int64(c.daemons)))
+			colds := make([]*budgeter.ColdLimiter, c.daemons)
+			for i := range colds {
+				colds[i] = &budgeter.ColdLimiter{Factor: factor, Slack: slack}
+			}
+			var sent []time.Duration
+			for at := time.Duration(0); at < end; at += time.Millisecond {
+				i := rng.Intn(c.daemons)
+				if at < coldAt {
+					colds[i].Count(almondstep.Instant(at), "i-1", c.rate)
+					continue
+				}
+				isFirst := func(n int) bool { return i < n }
+				if colds[i].Take(almondstep.Instant(at), "i-1", c.rate, c.daemons, isFirst) {
+					sent = append(sent, at)
+				}
+			}
+			if got, want := float64(len(sent)), c.rate*(end-coldAt-2*time.Second).Seconds()/2; got < want {
+				t.Errorf("got %.0f calls, want at least %.0f", got, want)
+			}
+			for _, from := range sent {
+				if got, want := countWithin(sent, from, time.Second), c.rate*factor+slack; float64(got) > want {
+					t.Fatalf("from %v: got %d calls in a second, want at most %.0f", from, got, want)
+				}
+			}
+			if len(sent) > 0 && c.daemons == 1 && sent[0] < coldAt+time.Second {
+				t.Errorf("got a call %v after the upstream became cold, want none while the calls before it count", sent[0]-coldAt)
+			}
+		})
 	}
-	var sent []time.Duration
-	for at := time.Duration(0); at < 5*time.Second; at += time.Millisecond {
-		if colds[int(at/time.Millisecond)%daemons].Take(almondstep.Instant(at), "i-1", rate, daemons) {
-			sent = append(sent, at)
-		}
-	}
-	if len(sent) == 0 {
-		t.Error("got no call at all")
+}
+
+// Guards against FAILBACK: a daemon that starts again while an upstream is cold takes its share of
+// the same second twice.
+func TestRestartedDaemonWaitsWithColdUpstreams(t *testing.T) {
+	c := &budgeter.ColdLimiter{Factor: 1.5, Slack: 5}
+	start := almondstep.Instant(time.Hour)
+	c.Retain(start)
+	isFirst := func(int) bool { return true }
+	if c.Take(start.Add(time.Second), "i-1", 5, 1, isFirst) {
+		t.Error("got a call in the first second, want none")
 	}
-	for _, from := range sent {
-		if got, want := countWithin(sent, from, time.Second), rate*factor+slack; float64(got) > want {
-			t.Fatalf("from %v: got %d calls in a second, want at most %.0f", from, got, want)
-		}
+	if !c.Take(start.Add(2*time.Second), "i-1", 5, 1, isFirst) {
+		t.Error("got no call later")
 	}
 }
--- a/directory.go
+++ b/directory.go
@@ -32,13 +32,22 @@
 	Slots int
 	// Leaving is set if the upstream gets no new requests.
 	Leaving bool
-	// ColdFor is the time that the upstream stays cold, counted from when its registry
-	// entry was read; 0 if it is warm.
+	// ColdFor is the time that the upstream stays cold, counted from ListedAt; 0 if it is warm.
 	ColdFor time.Duration
+	// ListedAt is when this daemon learned of the newest change of the registry entry.
+	ListedAt Instant
 	// Version is the version of its program; empty if unknown.
 	Version UpstreamVersion
 }
 
+// ColdUntil returns until when the upstream stays cold, by its registry entry; 0 if it is warm.
+func (u *Upstream) ColdUntil() Instant {
+	if u.ColdFor <= 0 {
+		return 0
+	}
+	return u.ListedAt.Add(u.ColdFor)
+}
+
 // Run returns the identity of this run of the upstream.
 func (u *Upstream) Run() UpstreamRun {
 	id := string(u.ID)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -145,6 +145,7 @@
 			f.updateGate(d)
 			f.delegates.retain(d)
 			f.rates.Retain(d)
+			f.cold.Retain(now)
 			f.leaving.retain(now, d)
 			f.needed.retain(now)
 			out = f.reportSilentCrashes(now, out)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -118,16 +118,6 @@
 	return kind == budgeter.First && r.route.Idempotent() && r.route.Attempts() > 1
 }
 
-// takeCold reports whether an upstream isn't cold, or may be called within this daemon's share of
-// the rate of calls to a cold one, from which the call is then taken.
-func (f *Forwarder) takeCold(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream) bool {
-	if !f.picker.Cold(now, u) {
-		return true
-	}
-	service, _ := r.directory.Routes().Service(s.service)
-	return f.cold.Take(now, u.ID, service.ColdPerSecond, r.budgetDivisor(s.service))
-}
-
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
 // calls to a cold one. An upstream that has said that it leaves gets no calls. A hedge never
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
--- a/forwarder/silence_seeds_test.go
+++ b/forwarder/silence_seeds_test.go
@@ -58,6 +58,8 @@
 	loud       bool
 	claimed    map[almondstep.CrashRecord]bool
 	lastDownAt almondstep.Instant
+	// arrivals has the times at which calls arrived at each server.
+	arrivals map[*simServer][]almondstep.Instant
 }
 
 // simDaemon is one daemon's traffic thread.
@@ -103,7 +105,7 @@
 func newSim(t *testing.T, seed uint64) *sim {
 	t.Helper()
 	s := &sim{
-		t: t, rng: rand.New(rand.NewPCG(seed, 32)), now: almondstep.Instant(time.Second), claimed: map[almondstep.CrashRecord]bool{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 32)), now: almondstep.Instant(time.Second), claimed: map[almondstep.CrashRecord]bool{}, arrivals: map[*simServer][]almondstep.Instant{},
 		control: watcher.New(watcher.Config{Self: "a", Zone: "z0", MaxAge: time.Hour}), view: almondstep.NewView(almondstep.ViewSpec{}),
 	}
 	for i := range simZones * simPerZone {
@@ -255,6 +257,7 @@
 		}
 		return
 	}
+	s.arrivals[server] = append(s.arrivals[server], s.now)
 	run := server.run
 	if c.Request.Target == crashPath && !server.silent {
 		s.crashes = append(s.crashes, s.now)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -69,7 +69,7 @@
 	start := int(p.random() * float64(len(among)))
 	for i := range among {
 		u := among[(start+i)%len(among)]
-		s := p.stateOf(now, u)
+		s := p.stateOf(u)
 		if s.backoffLeft(now) > 0 || !usable(u) {
 			continue
 		}
@@ -90,37 +90,38 @@
 
 // ExpectedLatency is the time within which the upstream is likely to answer.
 func (p *Picker) ExpectedLatency(now almondstep.Instant, u *almondstep.Upstream) time.Duration {
-	mean, deviation := p.stateOf(now, u).expectedLatency(now)
+	mean, deviation := p.stateOf(u).expectedLatency(now)
 	return mean + deviation
 }
 
 // HighLatency is the time within which nearly all answers of the upstream arrive.
 func (p *Picker) HighLatency(now almondstep.Instant, u *almondstep.Upstream) time.Duration {
-	return p.stateOf(now, u).highLatency(now)
+	return p.stateOf(u).highLatency(now)
 }
 
 // HasLatency reports whether there is a recent latency of the upstream or any latency
 // of its group. Without one, an overdue call can't be detected.
 func (p *Picker) HasLatency(now almondstep.Instant, u *almondstep.Upstream) bool {
-	return p.stateOf(now, u).hasLatency(now)
+	return p.stateOf(u).hasLatency(now)
 }
 
-// Cold reports whether the upstream is known to be cold.
+// Cold reports whether the upstream is known to be cold, by its registry entry or by one of its
+// answers.
 func (p *Picker) Cold(now almondstep.Instant, u *almondstep.Upstream) bool {
-	return now < p.stateOf(now, u).coldUntil
+	return p.stateOf(u).isCold(now)
 }
 
 // Unresponsive reports whether the upstream has left its latest calls unanswered, or has
 // answered nothing since it got one that is overdue. A call that is sent now isn't why it is
 // silent.
 func (p *Picker) Unresponsive(now almondstep.Instant, u *almondstep.Upstream) bool {
-	s := p.stateOf(now, u)
+	s := p.stateOf(u)
 	return s.consecutiveUnanswered >= unresponsiveAfter || s.silentSinceOverdue(now)
 }
 
 // Sent records a call that is sent to an upstream.
 func (p *Picker) Sent(now almondstep.Instant, u *almondstep.Upstream, call almondstep.CallID) {
-	s := p.stateOf(now, u)
+	s := p.stateOf(u)
 	if s.trialDue(now) {
 		s.startTrial(now)
 	}
@@ -181,12 +182,12 @@
 		u.pace.observe(now, e.Load.Pace)
 	}
 	if e.ColdFor > 0 {
-		u.coldUntil = now.Add(e.ColdFor)
+		u.cold.answered(now, e.ColdFor)
 	}
 }
 
-// UpdateDirectory updates the groups and removes the state of upstreams that the
-// directory no longer lists and that have no calls in flight.
+// UpdateDirectory updates the groups and what the entries of upstreams say, and removes the state
+// of upstreams that the directory no longer lists and that have no calls in flight.
 func (p *Picker) UpdateDirectory(d *almondstep.Directory) {
 	p.updateGroups(d)
 	for _, s := range p.upstreams {
@@ -194,9 +195,7 @@
 	}
 	for _, all := range d.AllUpstreams() {
 		for _, u := range all {
-			if s, ok := p.upstreams[u.ID]; ok {
-				s.listed = true
-			}
+			p.updateListed(u)
 		}
 	}
 	for id, s := range p.upstreams {
@@ -206,12 +205,32 @@
 	}
 }
 
+// updateListed takes over the newest entry of an upstream. One without a state, of which nothing is
+// known, gets one if it is cold.
+func (p *Picker) updateListed(u *almondstep.Upstream) {
+	s, ok := p.upstreams[u.ID]
+	switch {
+	case ok && s.started.Equal(u.Started):
+		s.cold.listed(u)
+	case ok || u.ColdFor > 0:
+		s = p.addState(u)
+	default:
+		return
+	}
+	s.listed = true
+}
+
 // stateOf returns an upstream's state, creating it if the upstream is new or
-// restarted.
-func (p *Picker) stateOf(now almondstep.Instant, u *almondstep.Upstream) *upstreamState {
-	if s, ok := p.upstreams[u.ID]; ok && s.started.Equal(u.Started) {
+// restarted. A request that began under an earlier directory may still name an earlier run.
+func (p *Picker) stateOf(u *almondstep.Upstream) *upstreamState {
+	if s, ok := p.upstreams[u.ID]; ok && (s.listed || s.started.Equal(u.Started)) {
 		return s
 	}
+	return p.addState(u)
+}
+
+// addState creates the state of an upstream's run.
+func (p *Picker) addState(u *almondstep.Upstream) *upstreamState {
 	if p.upstreams == nil {
 		p.upstreams = make(map[almondstep.UpstreamID]*upstreamState)
 	}
@@ -223,9 +242,7 @@
 		slots:    max(1, u.Slots),
 		inFlight: make(map[almondstep.CallID]almondstep.Instant),
 	}
-	if u.ColdFor > 0 {
-		s.coldUntil = now.Add(u.ColdFor)
-	}
+	s.cold.listed(u)
 	p.upstreams[u.ID] = s
 	return s
 }
--- a/picker/terms.go
+++ b/picker/terms.go
@@ -21,18 +21,18 @@
 
 // Terms returns the terms of an upstream's cost for a call, which trials says may be a trial.
 func (p *Picker) Terms(now almondstep.Instant, u *almondstep.Upstream, trials bool) Terms {
-	return p.terms(now, p.stateOf(now, u), trials)
+	return p.terms(now, p.stateOf(u), trials)
 }
 
 // Pace returns the pace that is expected of an upstream now, in percent; 100 is the usual one.
 func (p *Picker) Pace(now almondstep.Instant, u *almondstep.Upstream) float64 {
-	s := p.stateOf(now, u)
+	s := p.stateOf(u)
 	return s.pace.present(now, s.validFor(now))
 }
 
 // Backoff returns the time until the backoff of an upstream ends; 0 if it is in none.
 func (p *Picker) Backoff(now almondstep.Instant, u *almondstep.Upstream) time.Duration {
-	return p.stateOf(now, u).backoffLeft(now)
+	return p.stateOf(u).backoffLeft(now)
 }
 
 // backoffLeft returns the time until the backoff ends; 0 if there is none.
@@ -60,7 +60,7 @@
 	if over := s.overdue(now); over > 0 {
 		t.Overdue = overdueCost + over
 	}
-	if now < s.coldUntil {
+	if s.isCold(now) {
 		t.Cold = coldCost
 	}
 	return t
--- a/picker/upstream.go
+++ b/picker/upstream.go
@@ -42,7 +42,7 @@
 	consecutiveUnanswered int
 	// answeredAt is when the last response was received; 0 if none was.
 	answeredAt almondstep.Instant
-	coldUntil  almondstep.Instant
+	cold       coldState
 	// listed is used by UpdateDirectory only.
 	listed bool
 }
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -77,6 +77,16 @@
 	return r.ids[best]
 }
 
+// Before reports whether daemon a comes before daemon b in the order for a key, which has the
+// daemons that Order lists in the same order.
+func Before(key string, a, b almondstep.DaemonID) bool {
+	r := Ranker{ids: []almondstep.DaemonID{a, b}, hashes: []uint64{Hash(string(a)), Hash(string(b))}}
+	if r.hashes[0] == r.hashes[1] {
+		return a < b
+	}
+	return r.compare(Hash(key), 0, 1) < 0
+}
+
 // compare is negative if daemon a comes before daemon b for the key's hash.
 func (r *Ranker) compare(key uint64, a, b int) int {
 	if c := cmp.Compare(score(key, r.hashes[b]), score(key, r.hashes[a])); c != 0 {
--- a/watcher/ended.go
+++ b/watcher/ended.go
@@ -72,10 +72,16 @@
 func (w *Watcher) putEntry(now almondstep.Instant, c almondstep.UpstreamChange, out []almondstep.Effect) []almondstep.Effect {
 	run := c.Upstream.Run()
 	held := w.listing.entries[c.Key]
+	u := *c.Upstream
+	u.ListedAt = now
+	if held != nil && held.revision == c.Revision {
+		// A full read repeats the entry, whose times count from when it was first read.
+		u.ListedAt = held.upstream.ListedAt
+	}
 	if held != nil && !held.upstream.Leaving && held.upstream.Run() != run {
 		w.ended.add(held.upstream.Run(), almondstep.RunEnd{At: now, Service: held.upstream.Service, Replaced: true})
 	}
-	w.listing.put(w.listedSince(now), c.Key, c.Upstream, c.Revision)
+	w.listing.put(w.listedSince(now), c.Key, &u, c.Revision)
 	// Without a stated start, a run that is back can't be told from a new one.
 	if w.ended.remove(run) && !c.Upstream.Started.IsZero() {
 		return w.runIsBack(now, run, out)
