Decode and log the pause that an upstream asks for

Change: the codec decodes it in answers that turn a request away (503, 429), as seconds with fractions or a date, a minute at most; odd values are named in the log line. No decision changes.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -60,7 +60,7 @@
 	if c.budgeted && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
 	}
-	return f.observeLimit(now, r, c.upstream, e, out)
+	return f.observeLimit(now, r, c.upstream, e, observePause(r, c.upstream, e, out))
 }
 
 // backoffReport returns the log line for an upstream or a delegate that enters backoff
--- a/message_request.go
+++ b/message_request.go
@@ -179,6 +179,12 @@
 	Limit *float64 `json:"limit,omitempty"`
 	// ColdFor is how much longer the upstream stays cold, as it reports.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
+	// RetryAfter is the time for which the upstream wants no requests from this daemon, as it
+	// states when it turns one away; 0 if it states none.
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// OddRetryAfter is what the upstream states instead of such a time, or beyond the longest that is
+	// heeded; usually empty.
+	OddRetryAfter string `json:"oddRetryAfter,omitempty"`
 }
 
 // CancelCall cancels a call in flight after a delay. If the response arrives
