Send an upstream nothing in the pause that it asks for

What callers saw: nothing at first; a full upstream that asked for 2 s without requests got 50 to 85 from one machine in that time, which keeps it full.

Cause: nothing read Retry-After of an upstream. Beside it, an answer to a call that was just being broken off was never read, and a call that waited for a connection was sent after the answer.

Change: an upstream that states Retry-After gets no call, of whatever kind, until its end and a random part of up to a quarter more; then one call at a time, and twice as many with each answer. Callers are refused at once if no upstream is left, with the time to the first end; admission doesn't hold them. Calls that wait for a connection are refused. A call that is broken off closes its sending side first and takes an answer for 100 ms more. A new run starts afresh.

Why it works: each call passes the same check, and each answer that reaches this machine is read.

--- a/admitter/gate_test.go
+++ b/admitter/gate_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against waiting for capacity that can't come: if all upstreams of a service want no calls for
+// a time, a request isn't held, and one that is held is started, so that it is refused at once.
+func TestRequestsDoNotWaitForPausedUpstreams(t *testing.T) {
+	d, routes := directory(t, 3)
+	g := admitter.NewGate(1)
+	g.UpdateDirectory(d)
+	now := almondstep.Instant(time.Second)
+	fill(g, d, now, 8, 100*time.Millisecond)
+	if v := g.Offer(now, ask(1, routes[1], now)); v.Decision != admitter.Wait {
+		t.Fatalf("got decision %d beside full upstreams, want that the request waits", v.Decision)
+	}
+	for _, u := range d.Upstreams("s0") {
+		g.Pause(u.ID, now.Add(2*time.Second))
+	}
+	if id, ok := g.Next(now); !ok || id != 1 {
+		t.Errorf("got %v, %v, want request 1 started", id, ok)
+	}
+	if v := g.Offer(now, ask(2, routes[1], now)); v.Decision != admitter.Pass {
+		t.Errorf("got decision %d, want the request to pass", v.Decision)
+	}
+}
+
 // A full queue displaces the least urgent, so that waiting requests use bounded memory.
 func TestFullQueueDisplacesLeastUrgent(t *testing.T) {
 	d, routes := directory(t, 30)
--- a/admitter/observe.go
+++ b/admitter/observe.go
@@ -33,6 +33,13 @@
 	}
 }
 
+// Pause records that an upstream wants no calls until an instant.
+func (g *Gate) Pause(id almondstep.UpstreamID, until almondstep.Instant) {
+	if u := g.upstreams[id]; u != nil {
+		u.lost(until)
+	}
+}
+
 // Ended records the end of a request that Offer or Next let run.
 func (g *Gate) Ended(now almondstep.Instant, work int) {
 	g.processor.ended(now, work)
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -132,16 +132,19 @@
 		}
 		u.queueEnds = max(u.queueEnds, least)
 	case almondstep.CallRefused:
-		u.lostUntil = now.Add(lostFor)
+		u.lost(now.Add(lostFor))
 	case almondstep.CallBroken, almondstep.CallTimeout:
 		u.unanswered++
 		if u.unanswered >= maxUnanswered {
-			u.lostUntil = now.Add(lostFor)
+			u.lost(now.Add(lostFor))
 		}
 	default:
 	}
 }
 
+// lost records that the upstream is no capacity until an instant, or a later one that is known.
+func (u *upstream) lost(until almondstep.Instant) { u.lostUntil = max(u.lostUntil, until) }
+
 // reported records the load that the upstream reported.
 func (u *upstream) reported(now almondstep.Instant, l *almondstep.UpstreamLoad) {
 	if l.Slots > 0 {
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -46,6 +46,8 @@
 	// DefaultMaxBufferedBytes bounds the memory of the heads and bodies of all responses that
 	// are being read.
 	DefaultMaxBufferedBytes = 32 << 20
+	// lingerTimeout is how long after a call is broken off its answer is still received.
+	lingerTimeout = 100 * time.Millisecond
 	// evictAfter is how long a pool is kept after its last call began.
 	evictAfter = time.Minute
 )
@@ -103,12 +105,15 @@
 	began := time.Now()
 	ended := &almondstep.CallEnded{ID: call.ID, Call: call.Call}
 	c.exchange(ctx, call, ended)
-	ended.Took = time.Since(began)
+	if ended.Took == 0 {
+		ended.Took = time.Since(began)
+	}
 	return ended
 }
 
 func (c *Client) exchange(ctx context.Context, call *almondstep.SendCall, ended *almondstep.CallEnded) {
-	p := c.pool(call, time.Now())
+	began := time.Now()
+	p := c.pool(call, began)
 	cn, err := p.get(ctx, call)
 	if err != nil {
 		// No connection was available in time, so nothing was sent.
@@ -127,7 +132,32 @@
 		c.handleReceived(p, cn, call, got, ended)
 	case <-ctx.Done():
 		ended.Result = failureResult(ctx, true)
-		p.abandon(cn)
+		ended.Took = time.Since(began)
+		c.breakOff(p, cn, call, done, ended)
+	}
+}
+
+// breakOff ends a call that was canceled or timed out. Only the sending side is closed at first, so
+// that an answer which the upstream has sent, or sends now that it sees the end, is still received:
+// it may say that the request hasn't run, and what the upstream wants of this daemon.
+func (c *Client) breakOff(p *pool, cn *conn, call *almondstep.SendCall, done <-chan received, ended *almondstep.CallEnded) {
+	brokenOffAt := time.Now()
+	if err := cn.closeWrite(); err != nil {
+		p.abandon(cn, brokenOffAt)
+		return
+	}
+	linger := time.NewTimer(lingerTimeout)
+	defer linger.Stop()
+	select {
+	case got := <-done:
+		if got.err != nil {
+			p.drop(cn)
+			return
+		}
+		got.reusable = false
+		c.handleReceived(p, cn, call, got, ended)
+	case <-linger.C:
+		p.abandon(cn, brokenOffAt)
 	}
 }
 
@@ -170,6 +200,9 @@
 	}
 	ended.Response = got.response
 	c.HeaderCodec.ParseResponse(call, got.response, ended)
+	if ended.RetryAfter > 0 {
+		p.pause(time.Now().Add(min(ended.RetryAfter, pauseNotice)))
+	}
 	switch {
 	case ended.Result == almondstep.CallInvalidResponse:
 		ended.Response = nil
--- a/exchanger/client_test.go
+++ b/exchanger/client_test.go
@@ -26,6 +26,7 @@
 
 func (headerCodec) ParseResponse(c *almondstep.SendCall, r *almondstep.ResponseMessage, into *almondstep.CallEnded) {
 	into.Result = almondstep.CallRejected
+	into.RetryAfter, _ = time.ParseDuration(r.Header.Get("Pause"))
 	if r.Header.Get("Key") != c.Request.Key {
 		into.Result = almondstep.CallInvalidResponse
 	} else if r.Status == http.StatusOK {
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -83,6 +83,15 @@
 	_ = cn.Close()
 }
 
+// closeWrite closes the sending side, which the upstream sees as the end of the connection.
+func (cn *conn) closeWrite() error {
+	half, ok := cn.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.New("the connection can't be closed on one side")
+	}
+	return half.CloseWrite()
+}
+
 // begin registers a call as the one whose response is read next. The response or an error
 // is sent on the returned channel.
 func (cn *conn) begin(method string, maxBodyBytes int64) <-chan received {
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"almondstep"
 )
 
@@ -16,8 +18,14 @@
 	// halfOpenAfter is the time without received bytes after which a reused connection is
 	// assumed to be half-open when its call is canceled or times out.
 	halfOpenAfter = 230 * time.Millisecond
+	// pauseNotice is how long after an upstream has asked for a pause its calls are refused here, at
+	// most: those that were sent before the decisions on calls took notice of it.
+	pauseNotice = 250 * time.Millisecond
 )
 
+// errPaused means that the upstream wants no calls, so that nothing was sent.
+var errPaused = errors.New("the upstream has asked for a pause")
+
 // pool holds the connections to one upstream.
 type pool struct {
 	client *Client
@@ -30,6 +38,8 @@
 	idle []*conn
 	// open counts the connections, including those in use and those being opened.
 	open int
+	// refusedUntil is until when calls are refused that would wait for a connection, or open one.
+	refusedUntil time.Time
 	// waiters has a channel for each call that waits for a connection, the first one first.
 	waiters []chan struct{}
 }
@@ -38,8 +48,10 @@
 // opens one. If call.Connections are open, it waits until one is returned or closed.
 func (p *pool) get(ctx context.Context, call *almondstep.SendCall) (*conn, error) {
 	for {
-		cn, wait := p.take(call, time.Now())
+		cn, wait, err := p.take(call, time.Now())
 		switch {
+		case err != nil:
+			return nil, err
 		case cn != nil:
 			return cn, nil
 		case wait == nil:
@@ -55,26 +67,39 @@
 
 // take returns an idle connection that is usable for the call, and closes those that
 // aren't. If it returns none, the caller may open a connection if wait is nil; otherwise
-// it must try again once wait is closed.
-func (p *pool) take(call *almondstep.SendCall, now time.Time) (cn *conn, wait chan struct{}) {
+// it must try again once wait is closed. It returns errPaused for a call that must not be sent.
+func (p *pool) take(call *almondstep.SendCall, now time.Time) (cn *conn, wait chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Before(p.refusedUntil) {
+		return nil, nil, errPaused
+	}
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		cn := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		if cn.usable(now) && (!call.FreshConnection || now.Sub(cn.lastRead()) < maxSilenceUnrepeatable) {
-			return cn, nil
+			return cn, nil, nil
 		}
 		cn.close()
 		p.open--
 	}
 	if p.open < call.Connections {
 		p.open++
-		return nil, nil
+		return nil, nil, nil
 	}
 	wait = make(chan struct{})
 	p.waiters = append(p.waiters, wait)
-	return nil, wait
+	return nil, wait, nil
+}
+
+// pause refuses the calls that wait for a connection, and those that follow until an instant.
+func (p *pool) pause(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusedUntil = until
+	for len(p.waiters) > 0 {
+		p.wake()
+	}
 }
 
 // dial opens a connection that take has counted as open.
@@ -120,14 +145,14 @@
 	}
 }
 
-// abandon closes a connection whose call was canceled or timed out. If the connection was
+// abandon closes a connection whose call was canceled or timed out at an instant. If the connection was
 // reused and nothing was received on it for at least halfOpenAfter since the call began,
 // the idle connections on which nothing was received since then are closed too: whatever
 // dropped the state of one connection has likely dropped that of the others.
-func (p *pool) abandon(cn *conn) {
+func (p *pool) abandon(cn *conn, at time.Time) {
 	began, lastRead := cn.began, cn.lastRead()
 	p.drop(cn)
-	if !cn.reused || lastRead.After(began) || time.Since(began) < halfOpenAfter {
+	if !cn.reused || lastRead.After(began) || at.Sub(began) < halfOpenAfter {
 		return
 	}
 	if n := p.closeIdle(began); n > 0 {
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -46,6 +46,9 @@
 	if backoff := f.picker.Ended(now, c.upstream.ID, e); backoff > 0 {
 		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
 	}
+	if c.returning {
+		f.pauses.ended(now, c.upstream.ID, e.Result)
+	}
 	f.gate.CallEnded(now, c.upstream.ID, max(0, e.Took-f.picker.PriorRTT(c.upstream)), e)
 	if e.Disconnected {
 		r.addDisconnected(now, c.upstream.Run())
@@ -60,7 +63,7 @@
 	if c.budgeted && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
 	}
-	return f.observeLimit(now, r, c.upstream, e, observePause(r, c.upstream, e, out))
+	return f.observeLimit(now, r, c.upstream, e, f.observePause(now, r, c.upstream, e, out))
 }
 
 // backoffReport returns the log line for an upstream or a delegate that enters backoff
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -79,6 +79,7 @@
 		return
 	}
 	if !f.retry(now, r, i, out) {
+		s.limitWait = f.limitWait(now, r, s)
 		r.markMissing(i, s.result)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,7 @@
 	needed    neededShards
 	rates     budgeter.RateLimiter
 	leaving   leavingRuns
+	pauses    pauses
 	silent    silentUpstreams
 	answered  recentAnswers
 	rollouts  rolloutSplits
@@ -95,6 +96,7 @@
 		requests:  make(map[almondstep.QueryID]*request),
 		calls:     make(map[almondstep.CallID]callRef),
 		rates:     budgeter.RateLimiter{Seed: cfg.Seed},
+		pauses:    pauses{random: almondstep.NewRandom(cfg.Seed)},
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		gate:      admitter.NewGate(cfg.Seed),
 		region:    cfg.Region,
@@ -147,6 +149,7 @@
 			f.rates.Retain(d)
 			f.cold.Retain(now)
 			f.leaving.retain(now, d)
+			f.pauses.retain(now, d)
 			f.needed.retain(now)
 			out = f.reportSilentCrashes(now, out)
 			out = f.rollouts.update(d, out)
--- a/forwarder/harness_test.go
+++ b/forwarder/harness_test.go
@@ -41,6 +41,8 @@
 	// claims lists the claims of trials, released counts those that were released.
 	claims   []*almondstep.ClaimTrial
 	released int
+	// reports lists the log lines.
+	reports []*almondstep.Report
 	// quotas lists the asks for quota, returned counts what was returned.
 	quotas   []*almondstep.RequestQuota
 	returned int
@@ -90,6 +92,8 @@
 			w.survived++
 		case *almondstep.ClaimTrial:
 			w.claims = append(w.claims, f)
+		case *almondstep.Report:
+			w.reports = append(w.reports, f)
 		case *almondstep.TrialReleased:
 			w.released++
 		case *almondstep.RequestQuota:
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -29,14 +29,15 @@
 }
 
 // limitWait returns how long a shard that can't be called must wait until the limit of one
-// of its upstreams allows a call; 0 if no limit is the reason.
+// of its upstreams allows a call, or its pause is over; 0 if neither is the reason.
 func (f *Forwarder) limitWait(now almondstep.Instant, r *request, s *shard) time.Duration {
 	least := time.Duration(0)
 	for _, u := range r.directory.Upstreams(s.service) {
-		if !r.route.Allows(u.Region) || f.leaving.has(u) || !f.rates.Limited(now, u) {
+		paused := f.pauses.wait(now, u.ID)
+		if !r.route.Allows(u.Region) || f.leaving.has(u) || paused == 0 && !f.rates.Limited(now, u) {
 			continue
 		}
-		wait := f.rates.Wait(now, u, r.budgetDivisor(s.service))
+		wait := max(paused+f.pauses.spread(paused), f.rates.Wait(now, u, r.budgetDivisor(s.service)))
 		if least == 0 || wait < least {
 			least = wait
 		}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -86,6 +86,8 @@
 	// unresponsive reports whether the upstream had left its latest calls unanswered when
 	// this one was sent.
 	unresponsive bool
+	// returning reports whether the upstream returned from a pause when this one was sent.
+	returning bool
 	// budgeted reports whether the call was taken from the retry budget.
 	budgeted bool
 }
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -34,7 +34,9 @@
 	f.lastCall++
 	id := f.lastCall
 	f.calls[id] = callRef{shard: i, call: len(s.calls)}
-	s.calls = append(s.calls, call{id: id, upstream: u, sentAt: now, unresponsive: f.picker.Unresponsive(now, u)})
+	s.calls = append(s.calls, call{
+		id: id, upstream: u, sentAt: now, unresponsive: f.picker.Unresponsive(now, u), returning: f.pauses.sent(u.ID),
+	})
 	s.hedgeAt = f.hedgeTime(now, r, s, u)
 	r.openCalls++
 	r.trace.Calls++
@@ -119,7 +121,8 @@
 }
 
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
-// calls to a cold one. An upstream that has said that it leaves gets no calls. A hedge never
+// calls to a cold one. An upstream that has said that it leaves gets no calls, and one that has asked
+// for a pause none until its end. A hedge never
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
 // calls that need it.
 func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
@@ -136,6 +139,8 @@
 		return "tried"
 	case f.leaving.has(u):
 		return "leaving"
+	case f.pauses.wait(now, u.ID) > 0:
+		return "pause"
 	case !f.rollouts.mayCall(r, u, kind):
 		return "rollout"
 	case !f.rates.Limited(now, u):
--- a/forwarder/silence_seeds_test.go
+++ b/forwarder/silence_seeds_test.go
@@ -58,6 +58,9 @@
 	loud       bool
 	claimed    map[almondstep.CrashRecord]bool
 	lastDownAt almondstep.Instant
+	// answers, if set, lets a server answer a call that has arrived in another way than usual, and
+	// reports whether it does.
+	answers func(d *simDaemon, c *almondstep.SendCall, server *simServer, sentAt almondstep.Instant) bool
 	// arrivals has the times at which calls arrived at each server.
 	arrivals map[*simServer][]almondstep.Instant
 }
@@ -258,6 +261,9 @@
 		return
 	}
 	s.arrivals[server] = append(s.arrivals[server], s.now)
+	if s.answers != nil && s.answers(d, c, server, sentAt) {
+		return
+	}
 	run := server.run
 	if c.Request.Target == crashPath && !server.silent {
 		s.crashes = append(s.crashes, s.now)
