Don't fill the upstreams beside one that pauses

What callers saw: since pauses are kept, a burst let all upstreams of a service pause at the same time, so that all requests were refused for 2 s although the servers were idle.

Cause: the calls that a paused upstream would have got went to the others, as did retries and hedges, and these were full within 0.4 s too.

Change: for 30 s after a pause, the upstreams of the service get no calls beyond one waiting per slot, by what they report, and no hedges.

Why it works: the excess is refused at once by the daemons, for 50 ms, instead of being turned away by the servers, for 2 s.

TestUpstreamsBesidePausedOneAreNotFilled.

--- a/forwarder/copy.go
+++ b/forwarder/copy.go
@@ -65,7 +65,7 @@
 }
 
 func (p *pauses) copy() pauses {
-	n := pauses{random: p.random, odd: maps.Clone(p.odd), upstreams: make(map[almondstep.UpstreamID]*pause, len(p.upstreams))}
+	n := pauses{random: p.random, full: maps.Clone(p.full), odd: maps.Clone(p.odd), upstreams: make(map[almondstep.UpstreamID]*pause, len(p.upstreams))}
 	for id, held := range p.upstreams {
 		c := *held
 		n.upstreams[id] = &c
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -33,7 +33,7 @@
 func (f *Forwarder) limitWait(now almondstep.Instant, r *request, s *shard) time.Duration {
 	least := time.Duration(0)
 	for _, u := range r.directory.Upstreams(s.service) {
-		paused := f.pauses.wait(now, u.ID)
+		paused := f.pauseWait(now, u)
 		if !r.route.Allows(u.Region) || f.leaving.has(u) || paused == 0 && !f.rates.Limited(now, u) {
 			continue
 		}
--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -22,6 +22,10 @@
 	// listingLag is how long a new run of an upstream, under the same ID, may answer before the directory
 	// lists it.
 	listingLag = 1500 * time.Millisecond
+	// maxQueuedPerSlot is the number of requests in an upstream's queue, per slot, up to which it gets
+	// calls while its service fills up, and fullRetention how long that is after a pause.
+	maxQueuedPerSlot = 1
+	fullRetention    = 30 * time.Second
 	// minReturnWait is the delay after which a caller may retry if an upstream that returns from a pause
 	// has as many calls as it may have.
 	minReturnWait = 50 * time.Millisecond
@@ -35,6 +39,8 @@
 type pauses struct {
 	random    almondstep.Random
 	upstreams map[almondstep.UpstreamID]*pause
+	// full has until when services count as ones that fill up, after a pause of an upstream.
+	full map[almondstep.ServiceName]almondstep.Instant
 	// odd has the last run of each upstream that has stated an odd time.
 	odd map[almondstep.UpstreamID]almondstep.UpstreamRun
 }
@@ -51,17 +57,26 @@
 	returning int
 }
 
+// fillsUp reports whether upstreams of a service have asked for pauses lately, so that the others get no
+// more than they can work on: they would soon ask for one too.
+func (p *pauses) fillsUp(now almondstep.Instant, s almondstep.ServiceName) bool {
+	until, known := p.full[s]
+	return known && now < until
+}
+
 // begin records that a run of an upstream asks for a pause from now on. A pause that ends later
 // stays.
-func (p *pauses) begin(now almondstep.Instant, u almondstep.UpstreamID, run almondstep.UpstreamRun, after time.Duration) {
+func (p *pauses) begin(now almondstep.Instant, u *almondstep.Upstream, run almondstep.UpstreamRun, after time.Duration) {
 	if p.upstreams == nil {
 		p.upstreams = make(map[almondstep.UpstreamID]*pause)
+		p.full = make(map[almondstep.ServiceName]almondstep.Instant)
 	}
+	p.full[u.Service] = now.Add(fullRetention)
 	spread := p.spread(after)
-	held := p.upstreams[u]
+	held := p.upstreams[u.ID]
 	if held == nil {
 		held = &pause{run: run}
-		p.upstreams[u] = held
+		p.upstreams[u.ID] = held
 	}
 	held.run, held.askedAt, held.allowed = run, now, 1
 	held.until = max(held.until, now.Add(after+spread))
@@ -120,6 +135,7 @@
 			delete(p.upstreams, id)
 		}
 	}
+	maps.DeleteFunc(p.full, func(_ almondstep.ServiceName, until almondstep.Instant) bool { return now >= until })
 	if len(p.upstreams)+len(p.odd) == 0 {
 		return
 	}
@@ -152,7 +168,7 @@
 	run := f.listedRun(u)
 	isNew := e.RetryAfter > 0 && f.pauses.wait(now, u.ID) == 0
 	if e.RetryAfter > 0 {
-		f.pauses.begin(now, u.ID, run, e.RetryAfter)
+		f.pauses.begin(now, u, run, e.RetryAfter)
 		f.gate.Pause(u.ID, now.Add(f.pauses.wait(now, u.ID)))
 	}
 	cause := "for " + e.RetryAfter.Round(time.Millisecond).String() + ", in an answer to request " + r.message.Key
@@ -178,6 +194,16 @@
 	return true
 }
 
+// pauseWait returns how long an upstream may get no call because of its pause, or because it is
+// likely to ask for one; 0 if it may get one now.
+func (f *Forwarder) pauseWait(now almondstep.Instant, u *almondstep.Upstream) time.Duration {
+	wait := f.pauses.wait(now, u.ID)
+	if wait == 0 && f.pauses.fillsUp(now, u.Service) && f.picker.QueuedPerSlot(now, u) > maxQueuedPerSlot {
+		return minReturnWait
+	}
+	return wait
+}
+
 // listedRun returns the run of an upstream that the newest directory lists, or that of u itself, which
 // may be from an earlier directory.
 func (f *Forwarder) listedRun(u *almondstep.Upstream) almondstep.UpstreamRun {
--- a/forwarder/pause_test.go
+++ b/forwarder/pause_test.go
@@ -102,3 +102,40 @@
 		t.Errorf("got %d log lines, want %d", got, want)
 	}
 }
+
+// Guards against a service that is idle because all its upstreams pause: while one does, the calls that
+// it would have got fill the others, which then ask for a pause too. They get no more than they can
+// work on, and no hedges.
+func TestUpstreamsBesidePausedOneAreNotFilled(t *testing.T) {
+	w := newHarness(t, crashConfig(), directory(t, 1, nil))
+	w.request(1, "/one/x")
+	w.askForPause(w.calls[0], 2*time.Second)
+	other := w.calls[1]
+	if other.Upstream.ID == w.calls[0].Upstream.ID {
+		t.Fatal("got the retry at the upstream that pauses")
+	}
+	answer := func(c *almondstep.SendCall, waiting int) {
+		delete(w.pending, c.Call)
+		w.reduce(&almondstep.CallEnded{
+			ID: c.ID, Call: c.Call, Result: almondstep.CallDone, Took: 5 * time.Millisecond,
+			Response: &almondstep.ResponseMessage{Status: 200, Signature: "s"},
+			Load:     &almondstep.UpstreamLoad{Running: 2, Waiting: waiting, Slots: 2},
+		})
+	}
+	answer(other, 1)
+	w.request(2, "/one/x")
+	if got, want := len(w.calls), 3; got != want {
+		t.Fatalf("got %d calls beside a short queue, want %d", got, want)
+	}
+	answer(w.calls[2], 4)
+	w.request(3, "/one/x")
+	r := w.replies[3]
+	if len(w.calls) != 3 || r == nil || r.Outcome != almondstep.OutcomeNotRun || r.RetryAfter < 50*time.Millisecond || r.RetryAfter > 100*time.Millisecond {
+		t.Errorf("got %d calls and reply %+v beside a long queue, want a refusal for a short time", len(w.calls), r)
+	}
+	w.advance(time.Second)
+	w.request(4, "/one/x")
+	if got, want := len(w.calls), 4; got != want {
+		t.Errorf("got %d calls later, want %d", got, want)
+	}
+}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -122,7 +122,8 @@
 
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
 // calls to a cold one. An upstream that has said that it leaves gets no calls, and one that has asked
-// for a pause none until its end. A hedge never
+// for a pause none until its end; no hedges are sent to its service for some time, which would fill
+// the others. A hedge never
 // goes to an upstream that states a limit, which leaves what such an upstream takes to the
 // calls that need it.
 func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
@@ -139,7 +140,7 @@
 		return "tried"
 	case f.leaving.has(u):
 		return "leaving"
-	case f.pauses.wait(now, u.ID) > 0:
+	case f.pauseWait(now, u) > 0, kind == budgeter.Hedge && f.pauses.fillsUp(now, u.Service):
 		return "pause"
 	case !f.rollouts.mayCall(r, u, kind):
 		return "rollout"
