Choose late hedges and retries among the upstreams that are listed now

Cause: a request chose the upstreams of its hedges and retries from the directory that was in force when it arrived, so also those that have announced since that they leave, or whose zone was drained.

Change: a request stays bound to its routes, but its calls choose among the upstreams that the newest directory lists; a late call may also go to one that is new.

--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -130,7 +130,7 @@
 	for i := range r.shards {
 		s := &r.shards[i]
 		usable := func(u *almondstep.Upstream) bool { return f.mayCall(now, r, s, u, budgeter.First) }
-		if _, ok := f.picker.Pick(now, r.directory.Upstreams(s.service), usable); ok {
+		if _, ok := f.picker.Pick(now, f.upstreams(r, s.service), usable); ok {
 			n++
 			continue
 		}
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -32,7 +32,7 @@
 // of its upstreams allows a call, or its pause is over; 0 if neither is the reason.
 func (f *Forwarder) limitWait(now almondstep.Instant, r *request, s *shard) time.Duration {
 	least := time.Duration(0)
-	for _, u := range r.directory.Upstreams(s.service) {
+	for _, u := range f.upstreams(r, s.service) {
 		paused := f.pauseWait(now, u)
 		if !r.route.Allows(u.Region) || f.leaving.has(u) || paused == 0 && !f.rates.Limited(now, u) {
 			continue
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -79,6 +79,16 @@
 	return r.route.Records()
 }
 
+// upstreams lists the upstreams of a service that may get calls of a request now. The request is bound
+// to the routes that were in force when it arrived, but not to the upstreams that were listed then: one
+// may have announced that it leaves, or its zone may have been drained.
+func (f *Forwarder) upstreams(r *request, service almondstep.ServiceName) []*almondstep.Upstream {
+	if d := f.view.Directory(); d != nil {
+		return d.Upstreams(service)
+	}
+	return r.directory.Upstreams(service)
+}
+
 // choose picks the upstream for a shard's next call: one of the version in rollout, if the call
 // belongs to that version's share and one can be called.
 func (f *Forwarder) choose(now almondstep.Instant, r *request, s *shard, kind budgeter.CallKind) (*almondstep.Upstream, bool) {
@@ -103,7 +113,7 @@
 		pick = f.picker.Pick
 	}
 	for {
-		u, ok := pick(now, r.directory.Upstreams(s.service), usable)
+		u, ok := pick(now, f.upstreams(r, s.service), usable)
 		if !ok {
 			return nil, false
 		}
@@ -236,7 +246,7 @@
 func (f *Forwarder) fastestUntried(now almondstep.Instant, r *request, s *shard, kind budgeter.CallKind) (*almondstep.Upstream, bool) {
 	var best *almondstep.Upstream
 	var least time.Duration
-	for _, u := range r.directory.Upstreams(s.service) {
+	for _, u := range f.upstreams(r, s.service) {
 		if !f.mayCall(now, r, s, u, kind) {
 			continue
 		}
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -61,7 +61,7 @@
 	usable := func(u *almondstep.Upstream) bool {
 		return !f.picker.Unresponsive(now, u) && f.mayCall(now, r, &shard{service: service}, u, budgeter.First)
 	}
-	_, ok := f.picker.PickWithoutTrial(now, r.directory.Upstreams(service), usable)
+	_, ok := f.picker.PickWithoutTrial(now, f.upstreams(r, service), usable)
 	return ok
 }
 
