Ask limited upstreams for their status while the registry doesn't answer

Cause: only the entry and the answer to a status check say that a server is cold again, and the routed path made no status checks.

Change: while the directory is out of date, a call to an upstream of a service with a rate for cold ones is accompanied by a status check, once a second at most, ten times a second from all daemons together. Its answer counts if it is from the upstream that was asked; what it says of a pause or of leaving counts too.

Why it works: it uses the one other place in which a server says that it is cold, and only when the first one can't be read. No site in force states such a rate, so that nothing changes there.

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -10,6 +10,9 @@
 // callEnded processes the result of a call. If the call failed, it retries the shard
 // at another upstream where that is allowed and can help.
 func (f *Forwarder) callEnded(now almondstep.Instant, e *almondstep.CallEnded, out []almondstep.Effect) []almondstep.Effect {
+	if u := f.checks.pending[e.Call]; u != nil {
+		return f.checkEnded(now, u, e, out)
+	}
 	ref, ok := f.calls[e.Call]
 	r := f.requests[e.ID]
 	if !ok || r == nil {
@@ -63,7 +66,7 @@
 	if c.budgeted && e.Result == almondstep.CallRefused {
 		f.budget.Refund(now, s.service)
 	}
-	return f.observeLimit(now, r, c.upstream, e, f.observePause(now, r, c.upstream, e, out))
+	return f.observeLimit(now, r, c.upstream, e, f.observePause(now, r.message.Key, c.upstream, e, out))
 }
 
 // backoffReport returns the log line for an upstream or a delegate that enters backoff
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -55,6 +55,7 @@
 	rates     budgeter.RateLimiter
 	leaving   leavingRuns
 	pauses    pauses
+	checks    statusChecks
 	silent    silentUpstreams
 	answered  recentAnswers
 	rollouts  rolloutSplits
@@ -150,6 +151,7 @@
 			f.cold.Retain(now)
 			f.leaving.retain(now, d)
 			f.pauses.retain(now, d)
+			f.checks.retain(d)
 			f.needed.retain(now)
 			out = f.reportSilentCrashes(now, out)
 			out = f.rollouts.update(d, out)
--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -85,14 +85,20 @@
 func (f *Forwarder) markLeaving(now almondstep.Instant, r *request, runs []almondstep.UpstreamRun, out []almondstep.Effect) []almondstep.Effect {
 	r.trace.Leaving = append(r.trace.Leaving, runs...)
 	for _, run := range runs {
-		if f.leaving.add(now, run) {
-			out = append(out, &almondstep.Report{
-				Level:   almondstep.ReportInfo,
-				Message: "upstream says that it leaves; it gets no more requests",
-				Subject: string(run),
-				Cause:   "answer to request " + r.message.Key,
-			})
-		}
+		out = f.addLeaving(now, run, r.message.Key, out)
 	}
 	return out
 }
+
+// addLeaving records that a run leaves, as it says in an answer to a request, and logs it once.
+func (f *Forwarder) addLeaving(now almondstep.Instant, run almondstep.UpstreamRun, request string, out []almondstep.Effect) []almondstep.Effect {
+	if !f.leaving.add(now, run) {
+		return out
+	}
+	return append(out, &almondstep.Report{
+		Level:   almondstep.ReportInfo,
+		Message: "upstream says that it leaves; it gets no more requests",
+		Subject: string(run),
+		Cause:   "answer to request " + request,
+	})
+}
--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -164,14 +164,14 @@
 
 // observePause begins the pause that an upstream asks for in a response, and logs it once. An odd
 // value is logged once for each run.
-func (f *Forwarder) observePause(now almondstep.Instant, r *request, u *almondstep.Upstream, e *almondstep.CallEnded, out []almondstep.Effect) []almondstep.Effect {
+func (f *Forwarder) observePause(now almondstep.Instant, request string, u *almondstep.Upstream, e *almondstep.CallEnded, out []almondstep.Effect) []almondstep.Effect {
 	run := f.listedRun(u)
 	isNew := e.RetryAfter > 0 && f.pauses.wait(now, u.ID) == 0
 	if e.RetryAfter > 0 {
 		f.pauses.begin(now, u, run, e.RetryAfter)
 		f.gate.Pause(u.ID, now.Add(f.pauses.wait(now, u.ID)))
 	}
-	cause := "for " + e.RetryAfter.Round(time.Millisecond).String() + ", in an answer to request " + r.message.Key
+	cause := "for " + e.RetryAfter.Round(time.Millisecond).String() + ", in an answer to request " + request
 	if e.OddRetryAfter != "" && f.pauses.addOdd(u.ID, run) {
 		isNew = true
 		cause += "; it states " + strconv.Quote(e.OddRetryAfter)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -46,6 +46,7 @@
 		r.trace.Exposed++
 	}
 	f.gate.Sent(now, u.ID)
+	f.checkStatus(now, r, u, out)
 	*out = append(*out, &almondstep.SendCall{
 		ID:              r.id,
 		Call:            id,
--- a/message_request.go
+++ b/message_request.go
@@ -138,6 +138,8 @@
 	// Connections is the maximum number of connections from this daemon to the
 	// upstream.
 	Connections int `json:"connections"`
+	// StatusCheck is set if the call is no caller's request, but asks the upstream for its status.
+	StatusCheck bool `json:"statusCheck,omitempty"`
 	// FreshConnection requires a new connection, or one on which bytes were received
 	// very recently.
 	FreshConnection bool `json:"unused,omitempty"`
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -145,6 +145,13 @@
 	return s.backoffUntil.Sub(now)
 }
 
+// Checked records what an upstream says in its answer to a status check.
+func (p *Picker) Checked(now almondstep.Instant, u *almondstep.Upstream, e *almondstep.CallEnded) {
+	if e.ColdFor > 0 {
+		p.stateOf(u).cold.answered(now, e.ColdFor)
+	}
+}
+
 // recordResult updates the observations with a call's result.
 func (u *upstreamState) recordResult(now almondstep.Instant, e *almondstep.CallEnded) {
 	switch e.Result {
--- a/route_table.go
+++ b/route_table.go
@@ -22,6 +22,8 @@
 	// ColdPerSecond is the maximum rate that one of its upstreams accepts from all
 	// daemons together while it is cold, in requests per second; 0 sets no limit.
 	ColdPerSecond float64
+	// HealthPath is where its upstreams answer status checks; empty if unknown.
+	HealthPath string
 }
 
 // CallerLimits are the limits on callers' requests and connections.
