Move the pauses of upstreams into a package of their own

The forwarder decides what follows from a pause; how long it lasts and how calls return is a limit like those of budgeter, and is tested by itself now. What three places did to forget upstreams that are no longer listed is Directory.UpstreamsByID. No decision changes.

--- a/budgeter/rate.go
+++ b/budgeter/rate.go
@@ -1,6 +1,7 @@
 package budgeter
 
 import (
+	"maps"
 	"time"
 
 	"almondstep"
@@ -161,17 +162,8 @@
 	if len(l.stated) == 0 {
 		return
 	}
-	listed := make(map[almondstep.UpstreamID]bool)
-	for _, all := range d.AllUpstreams() {
-		for _, u := range all {
-			listed[u.ID] = true
-		}
-	}
-	for id := range l.stated {
-		if !listed[id] {
-			delete(l.stated, id)
-		}
-	}
+	listed := d.UpstreamsByID()
+	maps.DeleteFunc(l.stated, func(id almondstep.UpstreamID, _ *statedRate) bool { return listed[id] == nil })
 }
 
 // of returns what the present run of an upstream states; nil if it states nothing.
--- a/directory.go
+++ b/directory.go
@@ -170,6 +170,17 @@
 // AllUpstreams maps each service to its upstreams. The caller must not change it.
 func (d *Directory) AllUpstreams() map[ServiceName][]*Upstream { return d.upstreams }
 
+// UpstreamsByID maps the IDs of the upstreams to these. It is built anew by each call.
+func (d *Directory) UpstreamsByID() map[UpstreamID]*Upstream {
+	byID := make(map[UpstreamID]*Upstream)
+	for _, all := range d.upstreams {
+		for _, u := range all {
+			byID[u.ID] = u
+		}
+	}
+	return byID
+}
+
 // Ended maps the runs of upstreams that ended recently without announcing it to how they
 // ended. The caller must not change it.
 func (d *Directory) Ended() map[UpstreamRun]RunEnd { return d.ended }
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -50,7 +50,7 @@
 		out = append(out, backoffReport("upstream", string(c.upstream.ID), e.Result.String(), r, backoff))
 	}
 	if c.returning {
-		f.pauses.ended(now, c.upstream.ID, e.Result)
+		f.pauses.Ended(now, c.upstream.ID, e.Result)
 	}
 	f.gate.CallEnded(now, c.upstream.ID, max(0, e.Took-f.picker.PriorRTT(c.upstream)), e)
 	if e.Disconnected {
--- a/forwarder/copy.go
+++ b/forwarder/copy.go
@@ -21,7 +21,7 @@
 		load:        f.load,
 		needed:      maps.Clone(f.needed),
 		rates:       f.rates.Copy(),
-		pauses:      f.pauses.copy(),
+		pauses:      f.pauses.Copy(),
 		leaving:     leavingRuns{runs: maps.Clone(f.leaving.runs)},
 		rollouts:    f.rollouts.copy(),
 		gate:        f.gate.Copy(),
@@ -63,12 +63,3 @@
 	}
 	return n
 }
-
-func (p *pauses) copy() pauses {
-	n := pauses{random: p.random, full: maps.Clone(p.full), odd: maps.Clone(p.odd), upstreams: make(map[almondstep.UpstreamID]*pause, len(p.upstreams))}
-	for id, held := range p.upstreams {
-		c := *held
-		n.upstreams[id] = &c
-	}
-	return n
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"almondstep"
 	"almondstep/admitter"
 	"almondstep/budgeter"
+	"almondstep/pauser"
 	"almondstep/picker"
 )
 
@@ -54,7 +55,7 @@
 	needed    neededShards
 	rates     budgeter.RateLimiter
 	leaving   leavingRuns
-	pauses    pauses
+	pauses    pauser.Pauser
 	checks    statusChecks
 	silent    silentUpstreams
 	answered  recentAnswers
@@ -97,7 +98,7 @@
 		requests:  make(map[almondstep.QueryID]*request),
 		calls:     make(map[almondstep.CallID]callRef),
 		rates:     budgeter.RateLimiter{Seed: cfg.Seed},
-		pauses:    pauses{random: almondstep.NewRandom(cfg.Seed)},
+		pauses:    pauser.Pauser{Random: almondstep.NewRandom(cfg.Seed)},
 		balancers: make(map[almondstep.RouteName]*targetBalancer),
 		gate:      admitter.NewGate(cfg.Seed),
 		region:    cfg.Region,
@@ -150,7 +151,7 @@
 			f.rates.Retain(d)
 			f.cold.Retain(now)
 			f.leaving.retain(now, d)
-			f.pauses.retain(now, d)
+			f.pauses.Retain(now, d)
 			f.checks.retain(d)
 			f.needed.retain(now)
 			out = f.reportSilentCrashes(now, out)
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -37,7 +37,7 @@
 		if !r.route.Allows(u.Region) || f.leaving.has(u) || paused == 0 && !f.rates.Limited(now, u) {
 			continue
 		}
-		wait := max(paused+f.pauses.spread(paused), f.rates.Wait(now, u, r.budgetDivisor(s.service)))
+		wait := max(paused+f.pauses.Spread(paused), f.rates.Wait(now, u, r.budgetDivisor(s.service)))
 		if least == 0 || wait < least {
 			least = wait
 		}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -35,7 +35,7 @@
 	id := f.lastCall
 	f.calls[id] = callRef{shard: i, call: len(s.calls)}
 	s.calls = append(s.calls, call{
-		id: id, upstream: u, sentAt: now, unresponsive: f.picker.Unresponsive(now, u), returning: f.pauses.sent(u.ID),
+		id: id, upstream: u, sentAt: now, unresponsive: f.picker.Unresponsive(now, u), returning: f.pauses.Sent(u.ID),
 	})
 	s.hedgeAt = f.hedgeTime(now, r, s, u)
 	r.openCalls++
@@ -151,7 +151,7 @@
 		return "tried"
 	case f.leaving.has(u):
 		return "leaving"
-	case f.pauseWait(now, u) > 0, kind == budgeter.Hedge && f.pauses.fillsUp(now, u.Service):
+	case f.pauseWait(now, u) > 0, kind == budgeter.Hedge && f.pauses.FillsUp(now, u.Service):
 		return "pause"
 	case !f.rollouts.mayCall(r, u, kind):
 		return "rollout"
--- a/forwarder/status_check.go
+++ b/forwarder/status_check.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -47,17 +48,8 @@
 	if len(c.sentAt) == 0 {
 		return
 	}
-	listed := make(map[almondstep.UpstreamID]bool)
-	for _, all := range d.AllUpstreams() {
-		for _, u := range all {
-			listed[u.ID] = true
-		}
-	}
-	for id := range c.sentAt {
-		if !listed[id] {
-			delete(c.sentAt, id)
-		}
-	}
+	listed := d.UpstreamsByID()
+	maps.DeleteFunc(c.sentAt, func(id almondstep.UpstreamID, _ almondstep.Instant) bool { return listed[id] == nil })
 }
 
 // checkStatus sends a status check to an upstream that a call of r goes to, if one is due.
