--- a/forwarder/cold_seeds_test.go
+++ b/forwarder/cold_seeds_test.go
@@ -80,23 +80,17 @@
 	server.upstream.ColdFor = 0
 }
 
-// request sends a request to a daemon, and observes when it is refused.
-func (s *coldSim) request() {
-	s.nextID++
-	id, at := s.nextID, s.now
-	d := s.daemons[s.rng.IntN(len(s.daemons))]
-	d.waiting[id] = func(r *almondstep.Reply) {
+// order sends a request to a daemon, and observes when it is refused.
+func (s *coldSim) order() {
+	at := s.now
+	s.request(s.anyDaemon(), "POST", fmt.Sprint("/order/", s.nextID), func(r *almondstep.Reply) {
 		switch {
 		case r.Outcome == almondstep.OutcomeComplete:
 			s.served++
 		case r.Outcome == almondstep.OutcomeNotRun && s.now.Sub(at) > 50*time.Millisecond:
 			s.refusedLate++
 		}
-	}
-	target := fmt.Sprint("/order/", id)
-	s.reduce(d, &almondstep.RequestArrived{ID: id, Remaining: time.Second, Request: &almondstep.RequestMessage{
-		Key: fmt.Sprint(id), Method: "POST", Target: target, Path: target, Host: "lots.example",
-	}})
+	})
 }
 
 // restart replaces a daemon's process by one that knows nothing of before.
@@ -141,7 +135,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := newColdSim(t, seed)
 			for at := time.Duration(0); at < coldSimTime; at += 5 * time.Millisecond {
-				s.after(at, s.request)
+				s.after(at, s.order)
 			}
 			for range 25 {
 				server := s.servers[s.rng.IntN(len(s.servers))]
@@ -175,7 +169,7 @@
 	}
 	s.run(s.now.Add(2 * time.Second))
 	for at := time.Duration(0); at < coldSimTime; at += 5 * time.Millisecond {
-		s.after(at, s.request)
+		s.after(at, s.order)
 	}
 	s.run(s.now.Add(coldSimTime))
 	s.checkCold()
--- a/forwarder/pause_seeds_test.go
+++ b/forwarder/pause_seeds_test.go
@@ -91,12 +91,10 @@
 	return true
 }
 
-// request sends a request to a daemon, and observes how it is refused.
-func (s *pauseSim) request() {
-	s.nextID++
-	id, at := s.nextID, s.now
-	d := s.daemons[s.rng.IntN(len(s.daemons))]
-	d.waiting[id] = func(r *almondstep.Reply) {
+// ask sends a request to a daemon, and observes how it is refused.
+func (s *pauseSim) ask() {
+	at := s.now
+	s.request(s.anyDaemon(), "GET", fmt.Sprint("/one/", s.nextID), func(r *almondstep.Reply) {
 		switch {
 		case r.Outcome == almondstep.OutcomeComplete:
 			s.served++
@@ -105,11 +103,7 @@
 		case r.Code == almondstep.CodeLimited && (r.RetryAfter < 50*time.Millisecond || r.RetryAfter > 6*time.Second):
 			s.oddRetry++
 		}
-	}
-	target := fmt.Sprint("/one/", id)
-	s.reduce(d, &almondstep.RequestArrived{ID: id, Remaining: time.Second, Request: &almondstep.RequestMessage{
-		Key: fmt.Sprint(id), Method: "GET", Target: target, Path: target, Host: "lots.example",
-	}})
+	})
 }
 
 // restart ends a server's run and begins another one under the same ID, which knows of no pause.
@@ -138,7 +132,7 @@
 					every = 2 * time.Millisecond
 				}
 				if at%every == 0 {
-					s.after(at, s.request)
+					s.after(at, s.ask)
 				}
 			}
 			if seed%2 == 0 {
