Use only the margin of the retry budget in the first window of a process

Cause: each daemon counts in memory and uses up to 0.8 of its share, before a restart and again after it.

Evidence: TestRestartedDaemonsTakeTheirPartOnce without the change: 84 extra calls in a window, 58 are allowed.

Change: in its first window a process uses the margin of 0.2, unless the settings say that the whole system starts for the first time. The limit on calls to cold upstreams waits in the same case only.

Why it works: 0.8 before and 0.2 after it are the whole share at most.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -44,9 +44,23 @@
 	// Window is the time over which calls and requests are counted.
 	Window time.Duration
 
+	// since is when this process began, if an earlier one may have sent extra calls; otherwise 0.
+	since    almondstep.Instant
 	services map[almondstep.ServiceName]*window
 }
 
+// Begin records that this daemon's process begins now, and that an earlier one may have used its
+// share: in the first window, only the margin is used.
+func (b *Budget) Begin(now almondstep.Instant) { b.since = now }
+
+// usable returns the part of the limit that is used, per mille.
+func (b *Budget) usable(now almondstep.Instant) float64 {
+	if b.since != 0 && now.Sub(b.since) < b.Window {
+		return perMille - usablePerMille
+	}
+	return usablePerMille
+}
+
 // window counts the requests and extra calls of one service by slot.
 type window struct {
 	requests [slotsPerWindow + 1]uint32
@@ -66,7 +80,7 @@
 func (b *Budget) Take(now almondstep.Instant, s almondstep.ServiceName, divisor int, kind CallKind) bool {
 	w := b.window(now, s)
 	allowed := b.Ratio*float64(sum(w.requests)) + b.Slack/float64(max(1, divisor))
-	allowed = allowed * usablePerMille / perMille
+	allowed = allowed * b.usable(now) / perMille
 	if kind == Hedge {
 		allowed = allowed * hedgePerMille / perMille
 	}
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -50,6 +50,52 @@
 	}
 }
 
+// Guards against BUDGET: daemons that restart take their part of the retry budget twice in one window.
+func TestRestartedDaemonsTakeTheirPartOnce(t *testing.T) {
+	const (
+		daemons = 6
+		slack   = 58
+		window  = 10 * time.Second
+		seeds   = 50
+	)
+	for seed := range int64(seeds) {
+		rng := rand.New(rand.NewSource(seed))
+		newBudget := func() *budgeter.Budget { return &budgeter.Budget{Ratio: 0.2, Slack: slack, Window: window} }
+		budgets := make([]*budgeter.Budget, daemons)
+		for i := range budgets {
+			budgets[i] = newBudget()
+		}
+		restartAt := 12*time.Second + time.Duration(rng.Int63n(int64(window)))
+		var extra []time.Duration
+		for at := time.Duration(0); at < 40*time.Second; at += 20 * time.Millisecond {
+			now := almondstep.Instant(at)
+			if at >= restartAt && at < restartAt+20*time.Millisecond {
+				for i := range budgets {
+					budgets[i] = newBudget()
+					budgets[i].Begin(now)
+				}
+			}
+			// Before the restart, what is needed comes all at once.
+			if at < restartAt-time.Second || at > restartAt {
+				if rng.Intn(3) > 0 {
+					continue
+				}
+			}
+			if budgets[rng.Intn(daemons)].Take(now, service, daemons, budgeter.Retry) {
+				extra = append(extra, at)
+			}
+		}
+		if len(extra) < slack {
+			t.Errorf("seed %d: got %d extra calls, want at least as many as the slack", seed, len(extra))
+		}
+		for _, from := range extra {
+			if got := countWithin(extra, from, window); got > slack {
+				t.Fatalf("seed %d, from %v: got %d extra calls in a window, want at most %d", seed, from, got, slack)
+			}
+		}
+	}
+}
+
 // countWithin counts the times in the window that begins at from.
 func countWithin(times []time.Duration, from, window time.Duration) int {
 	n := 0
@@ -136,7 +182,7 @@
 func TestRestartedDaemonWaitsWithColdUpstreams(t *testing.T) {
 	c := &budgeter.ColdLimiter{Factor: 1.5, Slack: 5}
 	start := almondstep.Instant(time.Hour)
-	c.Retain(start)
+	c.Begin(start)
 	isFirst := func(int) bool { return true }
 	if c.Take(start.Add(time.Second), "i-1", 5, 1, isFirst) {
 		t.Error("got a call in the first second, want none")
--- a/budgeter/cold.go
+++ b/budgeter/cold.go
@@ -21,7 +21,7 @@
 	Factor float64
 	Slack  float64
 
-	// since is when this daemon began: what its earlier process sent before isn't known.
+	// since is when this process began, if an earlier one may have sent calls; otherwise 0.
 	since almondstep.Instant
 	sent  map[almondstep.UpstreamID][]almondstep.Instant
 }
@@ -76,12 +76,12 @@
 	c.sent[id] = append(recent, now)
 }
 
-// Retain drops the counts of upstreams without a call that still counts. Its first call marks
-// this daemon's begin.
+// Begin records that this daemon's process begins now, and that an earlier one may have used its
+// share of the calls of this second.
+func (c *ColdLimiter) Begin(now almondstep.Instant) { c.since = now }
+
+// Retain drops the counts of upstreams without a call that still counts.
 func (c *ColdLimiter) Retain(now almondstep.Instant) {
-	if c.since == 0 {
-		c.since = now
-	}
 	for id := range c.sent {
 		if len(c.recent(now, id)) == 0 {
 			delete(c.sent, id)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,9 @@
 	// budgeter.ColdLimiter.
 	ColdFactor float64
 	ColdSlack  float64
+	// FirstStart is set if the whole fleet starts for the first time, so that no earlier process of this
+	// daemon has used a part of the limits.
+	FirstStart bool
 	// CrashLimit is the number of upstreams that may crash under a request before it is
 	// refused; 0 means that requests aren't refused for that reason. CrashMemory is how
 	// long it is refused then.
@@ -72,7 +75,8 @@
 	// organisationRoutes holds the routes of routesVersion as they apply to organisations.
 	organisationRoutes map[organisationRoute]*almondstep.Route
 	routesVersion      almondstep.RouteVersion
-	// crashLimit and crashMemory are those of the configuration.
+	// firstStart, crashLimit and crashMemory are those of the configuration.
+	firstStart  bool
 	crashLimit  int
 	crashMemory time.Duration
 	// cappedTo is the last View.AnswerBy to which the deadlines were capped.
@@ -108,6 +112,7 @@
 		rollouts:  rolloutSplits{share: cfg.ExposeShare, slack: cfg.ExposeSlack, seed: cfg.Seed},
 
 		silent:      silentUpstreams{renewInterval: cfg.RenewInterval},
+		firstStart:  cfg.FirstStart,
 		crashLimit:  cfg.CrashLimit,
 		crashMemory: cfg.CrashMemory,
 	}
@@ -144,6 +149,7 @@
 		return f.requesterGone(now, e.ID, out)
 	case *almondstep.ViewChanged:
 		if d := v.Directory(); d != nil && d != f.directory {
+			f.begin(now)
 			f.directory = d
 			f.picker.UpdateDirectory(d)
 			f.updateGate(d)
@@ -163,5 +169,14 @@
 	return out
 }
 
+// begin records in the limits, with the first directory, that this process begins.
+func (f *Forwarder) begin(now almondstep.Instant) {
+	if f.directory != nil || f.firstStart {
+		return
+	}
+	f.budget.Begin(now)
+	f.cold.Begin(now)
+}
+
 // Open returns the number of requests that have a pending call or aren't yet answered.
 func (f *Forwarder) Open() int { return len(f.requests) }
