--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -37,10 +37,10 @@
 		return r, append(out, refusal)
 	}
 	if f.quarantined(r) {
-		if !f.wantsTrial(now, r) {
+		if !f.wantsRecheck(now, r) {
 			return r, append(out, f.refuseQuarantined(now, r))
 		}
-		r.trial = trialWanted
+		r.recheck = recheckWanted
 	}
 	r.setDeadlines(cmp.Or(e.At, now), e.Remaining)
 	f.observeLag(now, r)
@@ -57,8 +57,8 @@
 // dispatch delegates the request, or sends its calls. If a request was admitted for delegation only
 // and no delegate is usable, admission decides anew: this daemon then makes all its calls.
 func (f *Forwarder) dispatch(now almondstep.Instant, r *request, out []almondstep.Effect) []almondstep.Effect {
-	if r.trial == trialWanted {
-		return f.claimTrial(now, r, out)
+	if r.recheck == recheckWanted {
+		return f.claimRecheck(now, r, out)
 	}
 	if f.delegate(now, r, &out) {
 		f.requests[r.id] = r
@@ -100,8 +100,8 @@
 	}
 	r.trace.Missing = nil
 	f.requests[r.id] = r
-	if r.trial == trialClaimed {
-		f.sendTrial(now, r, &out)
+	if r.recheck == recheckClaimed {
+		f.sendRecheck(now, r, &out)
 		return f.proceed(now, r, out)
 	}
 	f.delegatePart(now, r, &out)
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -228,5 +228,5 @@
 	}
 	delete(f.requests, r.id)
 	f.releaseAdmission(now, r)
-	return f.recordSilence(now, r, f.endTrial(r, out))
+	return f.recordSilence(now, r, f.endRecheck(r, out))
 }
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -28,11 +28,11 @@
 	return f.view.HasSuspects() && f.view.Quarantined(r.fingerprint())
 }
 
-// refuseQuarantined refuses a request that is in quarantine until its next trial may begin.
+// refuseQuarantined refuses a request that is in quarantine until its next recheck may begin.
 func (f *Forwarder) refuseQuarantined(now almondstep.Instant, r *request) *almondstep.ReplyRequest {
 	after := f.crashMemory
-	if next, ok := f.view.Trial(r.fingerprint()); ok {
-		after = max(next.At.Sub(now), trialUnderWay)
+	if next, ok := f.view.Recheck(r.fingerprint()); ok {
+		after = max(next.At.Sub(now), recheckUnderWay)
 	}
 	refusal := refuse(r.id, almondstep.CodeQuarantined, after)
 	refusal.Reply.Trace = r.trace
@@ -55,7 +55,7 @@
 // suspectsCause reports whether so many upstreams have crashed under the request, here
 // and before, and none has answered it, that it must be taken for the cause.
 func (f *Forwarder) suspectsCause(r *request) bool {
-	if r.awaitsTrial() {
+	if r.awaitsRecheck() {
 		return true
 	}
 	own := len(r.trace.Disconnected)
--- a/forwarder/finish.go
+++ b/forwarder/finish.go
@@ -18,8 +18,8 @@
 	if r.quota == quotaAsked {
 		return f.quotaTimer(now, r, out)
 	}
-	if r.trial == trialAsked {
-		return f.trialTimer(now, r, out)
+	if r.recheck == recheckAsked {
+		return f.recheckTimer(now, r, out)
 	}
 	if r.admission.waiting {
 		return f.checkWaiting(now, r, out)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,9 +65,9 @@
 	rollouts  rolloutSplits
 	// suspects are those of the last view.
 	suspects map[almondstep.Fingerprint]int
-	// trialsAt has, for refused requests, when this thread may claim a trial again.
-	trialsAt map[almondstep.Fingerprint]almondstep.Instant
-	gate     *admitter.Gate
+	// rechecksAt has, for refused requests, when this thread may claim a recheck again.
+	rechecksAt map[almondstep.Fingerprint]almondstep.Instant
+	gate       *admitter.Gate
 	// directory is the one last passed to picker and delegates.
 	directory *almondstep.Directory
 	region    almondstep.RegionName
@@ -139,8 +139,8 @@
 		return f.gatherEnded(now, e, out)
 	case *almondstep.QuotaDecided:
 		return f.quotaDecided(now, e, out)
-	case *almondstep.TrialClaimed:
-		return f.trialDecided(now, e, out)
+	case *almondstep.RecheckClaimed:
+		return f.recheckDecided(now, e, out)
 	case *almondstep.RTTMeasured:
 		f.rttMeasured(now, e)
 	case *almondstep.RequestTimer:
@@ -163,7 +163,7 @@
 			out = f.reportSilentCrashes(now, out)
 			out = f.rollouts.update(d, out)
 		}
-		f.forgetTrials()
+		f.forgetRechecks()
 		return f.capDeadlines(now, f.clearAnswered(now, out))
 	}
 	return out
--- a/forwarder/harness_test.go
+++ b/forwarder/harness_test.go
@@ -38,8 +38,8 @@
 	// crashed lists the reports of crashes, survived counts those that a request survived.
 	crashed  []*almondstep.RequestCrashed
 	survived int
-	// claims lists the claims of trials, released counts those that were released.
-	claims   []*almondstep.ClaimTrial
+	// claims lists the claims of rechecks, released counts those that were released.
+	claims   []*almondstep.ClaimRecheck
 	released int
 	// reports lists the log lines.
 	reports []*almondstep.Report
@@ -90,11 +90,11 @@
 			w.crashed = append(w.crashed, f)
 		case *almondstep.RequestSurvived:
 			w.survived++
-		case *almondstep.ClaimTrial:
+		case *almondstep.ClaimRecheck:
 			w.claims = append(w.claims, f)
 		case *almondstep.Report:
 			w.reports = append(w.reports, f)
-		case *almondstep.TrialReleased:
+		case *almondstep.RecheckReleased:
 			w.released++
 		case *almondstep.RequestQuota:
 			w.quotas = append(w.quotas, f)
--- a/forwarder/outage_seeds_test.go
+++ b/forwarder/outage_seeds_test.go
@@ -12,7 +12,7 @@
 	// outageSimTime is the time of a simulation of outages.
 	outageSimTime = 100 * time.Second
 	// servedAgainWithin is the time after the last server was lost within which no sound request is
-	// refused any more: the servers are back after crashDowntime, and a trial takes place after that.
+	// refused any more: the servers are back after crashDowntime, and a recheck takes place after that.
 	servedAgainWithin = 30 * time.Second
 )
 
--- a/forwarder/trial_claim_test.go
+++ b/forwarder/recheck_test.go
@@ -7,39 +7,39 @@
 	"almondstep"
 )
 
-const trialShards = 4
+const recheckShards = 4
 
-// newTrialHarness returns a harness with a quarantined request over shards whose trial is due, and
+// newRecheckHarness returns a harness with a quarantined request over shards whose recheck is due, and
 // which one caller has sent.
-func newTrialHarness(t *testing.T) *harness {
+func newRecheckHarness(t *testing.T) *harness {
 	t.Helper()
-	w := newHarness(t, crashConfig(), directory(t, trialShards, nil))
+	w := newHarness(t, crashConfig(), directory(t, recheckShards, nil))
 	f := (&almondstep.RequestMessage{Method: "GET", Target: "/search/x", Host: "lots.example"}).Fingerprint()
 	w.view = almondstep.NewView(almondstep.ViewSpec{
 		Directory:   w.view.Directory(),
 		Crashes:     map[almondstep.Fingerprint]int{f: 3},
 		Quarantined: map[almondstep.Fingerprint]struct{}{f: {}},
-		Trials:      map[almondstep.Fingerprint]almondstep.Trial{f: {Number: 1, At: w.now}},
+		Rechecks:    map[almondstep.Fingerprint]almondstep.Recheck{f: {Number: 1, At: w.now}},
 	})
 	w.request(1, "/search/x")
 	return w
 }
 
 // decide tells the forwarder the outcome of the claim.
-func (w *harness) decide(claim *almondstep.ClaimTrial, err string) {
+func (w *harness) decide(claim *almondstep.ClaimRecheck, err string) {
 	w.t.Helper()
-	w.reduce(&almondstep.TrialClaimed{ID: claim.ID, Record: claim.Record, Err: err})
+	w.reduce(&almondstep.RecheckClaimed{ID: claim.ID, Record: claim.Record, Err: err})
 }
 
-// Guards against BUDGET: a trial over shards is sent to one upstream of each, and crashes them all.
-func TestTrialOverShardsGoesToOneUpstreamUntilItIsAnswered(t *testing.T) {
-	w := newTrialHarness(t)
+// Guards against BUDGET: a recheck over shards is sent to one upstream of each, and crashes them all.
+func TestRecheckOverShardsGoesToOneUpstreamUntilItIsAnswered(t *testing.T) {
+	w := newRecheckHarness(t)
 	if len(w.claims) != 1 || len(w.calls) != 0 {
 		t.Fatalf("got %d claims and %d calls, want one claim", len(w.claims), len(w.calls))
 	}
 	w.request(2, "/search/x")
 	if r := w.replies[2]; r == nil || r.Code != almondstep.CodeQuarantined || r.RetryAfter != time.Second {
-		t.Errorf("got reply %+v to another caller, want a refusal for as long as a trial takes", r)
+		t.Errorf("got reply %+v to another caller, want a refusal for as long as a recheck takes", r)
 	}
 	w.decide(w.claims[0], "")
 	w.advance(100 * time.Millisecond)
@@ -47,7 +47,7 @@
 		t.Fatalf("got %d calls before an answer, want %d", got, want)
 	}
 	w.end(w.calls[0], almondstep.CallDone, record('a'))
-	if got, want := len(w.calls), trialShards; got != want {
+	if got, want := len(w.calls), recheckShards; got != want {
 		t.Fatalf("got %d calls after it, want %d", got, want)
 	}
 	for _, c := range w.calls[1:] {
@@ -61,9 +61,9 @@
 	}
 }
 
-// A trial that ends its upstream's connection is repeated nowhere, and stays used.
-func TestTrialThatCrashesItsUpstreamEnds(t *testing.T) {
-	w := newTrialHarness(t)
+// A recheck that ends its upstream's connection is repeated nowhere, and stays used.
+func TestRecheckThatCrashesItsUpstreamEnds(t *testing.T) {
+	w := newRecheckHarness(t)
 	w.decide(w.claims[0], "")
 	w.disconnect(w.calls[0])
 	if got, want := len(w.calls), 1; got != want {
@@ -77,8 +77,8 @@
 	}
 }
 
-// A trial that reaches no upstream is released, and one that another daemon has is refused.
-func TestTrialWithoutCallIsReleased(t *testing.T) {
+// A recheck that reaches no upstream is released, and one that another daemon has is refused.
+func TestRecheckWithoutCallIsReleased(t *testing.T) {
 	cases := map[string]struct {
 		happens  func(w *harness)
 		released int
@@ -104,7 +104,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			w := newTrialHarness(t)
+			w := newRecheckHarness(t)
 			c.happens(w)
 			if got := w.released; got != c.released {
 				t.Errorf("got %d releases, want %d", got, c.released)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -43,9 +43,9 @@
 	// disconnectedAt is when an upstream last ended the connection while it had the request; 0
 	// if none has.
 	disconnectedAt almondstep.Instant
-	// trial is how far the request has come as a trial, and trialRecord the record of the trial.
-	trial       trialState
-	trialRecord almondstep.CrashRecord
+	// recheck is how far the request has come as a recheck, and recheckRecord the record of the recheck.
+	recheck       recheckState
+	recheckRecord almondstep.CrashRecord
 	// timerAt is when the timer that is set expires; 0 if none is set.
 	timerAt almondstep.Instant
 	// knownFingerprint is 0 until it is needed.
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -24,7 +24,7 @@
 // is none. The caller has checked that another call is allowed.
 func (f *Forwarder) send(now almondstep.Instant, r *request, i int, kind budgeter.CallKind, out *[]almondstep.Effect) bool {
 	s := &r.shards[i]
-	if f.quarantined(r) && r.trial != trialClaimed {
+	if f.quarantined(r) && r.recheck != recheckClaimed {
 		return false
 	}
 	u, ok := f.choose(now, r, s, kind)
--- a/forwarder/sim_test.go
+++ b/forwarder/sim_test.go
@@ -209,11 +209,11 @@
 			s.after(registryDelay, func() { s.reduceControl(effect) })
 		case *almondstep.RequestSurvived:
 			s.after(registryDelay, func() { s.reduceControl(effect) })
-		case *almondstep.TrialBegan:
+		case *almondstep.RecheckBegan:
 			s.after(registryDelay, func() { s.reduceControl(effect) })
-		case *almondstep.TrialReleased:
+		case *almondstep.RecheckReleased:
 			s.after(registryDelay, func() { s.reduceControl(effect) })
-		case *almondstep.ClaimTrial:
+		case *almondstep.ClaimRecheck:
 			s.after(time.Millisecond, func() { s.claim(d, effect) })
 		case *almondstep.ReplyRequest:
 			if reply := d.waiting[effect.ID]; reply != nil {
@@ -238,9 +238,9 @@
 // anyDaemon returns a random daemon.
 func (s *sim) anyDaemon() *simDaemon { return s.daemons[s.rng.IntN(len(s.daemons))] }
 
-// claim writes the record of a trial if there is none.
-func (s *sim) claim(d *simDaemon, c *almondstep.ClaimTrial) {
-	e := &almondstep.TrialClaimed{ID: c.ID, Record: c.Record}
+// claim writes the record of a recheck if there is none.
+func (s *sim) claim(d *simDaemon, c *almondstep.ClaimRecheck) {
+	e := &almondstep.RecheckClaimed{ID: c.ID, Record: c.Record}
 	if s.claimed[c.Record] {
 		e.Err = "another write came first"
 	}
--- a/interfaces.go
+++ b/interfaces.go
@@ -53,9 +53,9 @@
 	// RecordCrashes adds and removes records of crashes. It may be repeated. If it returns
 	// an error, it may have taken effect.
 	RecordCrashes(ctx context.Context, f *RecordCrashes) error
-	// ClaimTrial adds the record of a trial. It returns ErrConflict if there is one. After any
+	// ClaimRecheck adds the record of a recheck. It returns ErrConflict if there is one. After any
 	// other error, it may have taken effect.
-	ClaimTrial(ctx context.Context, r CrashRecord) error
+	ClaimRecheck(ctx context.Context, r CrashRecord) error
 	// Read decodes entries that another daemon has forwarded.
 	Read(revision uint64, entries []RegistryEntry) *RegistryChanges
 }
--- a/message_crash.go
+++ b/message_crash.go
@@ -13,22 +13,22 @@
 	Upstream    UpstreamRun `json:"upstream"`
 }
 
-// trialRun begins the run in the record of a trial. No upstream has an empty ID.
-const trialRun = "@trial"
+// recheckRun begins the run in the record of a recheck. No upstream has an empty ID.
+const recheckRun = "@recheck"
 
-// TrialRecord returns the record of a request's trial with a number, from 1 on. It is written
-// before the trial's call, and counts as a crash until an upstream answers the request.
-func TrialRecord(f Fingerprint, number int) CrashRecord {
-	return CrashRecord{Fingerprint: f, Upstream: UpstreamRun(trialRun + strconv.Itoa(number))}
+// RecheckRecord returns the record of a request's recheck with a number, from 1 on. It is written
+// before the recheck's call, and counts as a crash until an upstream answers the request.
+func RecheckRecord(f Fingerprint, number int) CrashRecord {
+	return CrashRecord{Fingerprint: f, Upstream: UpstreamRun(recheckRun + strconv.Itoa(number))}
 }
 
-// IsTrial reports whether the record is that of a trial.
-func (r CrashRecord) IsTrial() bool { return strings.HasPrefix(string(r.Upstream), trialRun) }
+// IsRecheck reports whether the record is that of a recheck.
+func (r CrashRecord) IsRecheck() bool { return strings.HasPrefix(string(r.Upstream), recheckRun) }
 
-// Trial is the next trial of a quarantined request: one call, by one daemon, which shows whether
+// Recheck is the next recheck of a quarantined request: one call, by one daemon, which shows whether
 // the request crashes upstreams.
-type Trial struct {
-	// Number counts the trials of the request, from 1 on.
+type Recheck struct {
+	// Number counts the rechecks of the request, from 1 on.
 	Number int `json:"number"`
 	// At is when it may begin.
 	At Instant `json:"at"`
@@ -74,31 +74,31 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 }
 
-// ClaimTrial claims the trial of a quarantined request, by writing its record if no other daemon
-// has. The outcome is returned as TrialClaimed.
-type ClaimTrial struct {
+// ClaimRecheck claims the recheck of a quarantined request, by writing its record if no other daemon
+// has. The outcome is returned as RecheckClaimed.
+type ClaimRecheck struct {
 	ID     QueryID     `json:"id"`
 	Record CrashRecord `json:"record"`
 	// Timeout is the time after which the claim is abandoned.
 	Timeout time.Duration `json:"timeout"`
 }
 
-// TrialClaimed is the outcome of a ClaimTrial.
-type TrialClaimed struct {
+// RecheckClaimed is the outcome of a ClaimRecheck.
+type RecheckClaimed struct {
 	ID     QueryID     `json:"id"`
 	Record CrashRecord `json:"record"`
-	// Err is empty if this daemon has the trial; otherwise another daemon may have it, or none.
+	// Err is empty if this daemon has the recheck; otherwise another daemon may have it, or none.
 	Err string `json:"err,omitempty"`
 }
 
-// TrialBegan reports to the control thread that this daemon has claimed a trial.
-type TrialBegan struct {
+// RecheckBegan reports to the control thread that this daemon has claimed a recheck.
+type RecheckBegan struct {
 	Record CrashRecord `json:"record"`
 }
 
-// TrialReleased reports to the control thread that a trial that was claimed has reached no
+// RecheckReleased reports to the control thread that a recheck that was claimed has reached no
 // upstream, so that its record is to be removed.
-type TrialReleased struct {
+type RecheckReleased struct {
 	Record CrashRecord `json:"record"`
 }
 
@@ -123,19 +123,19 @@
 func (*RequestSurvived) Kind() string { return "requestSurvived" }
 
 // Kind names the effect.
-func (*ClaimTrial) Kind() string { return "claimTrial" }
+func (*ClaimRecheck) Kind() string { return "claimRecheck" }
 
 // Kind names the event.
-func (*TrialClaimed) Kind() string { return "trialClaimed" }
+func (*RecheckClaimed) Kind() string { return "recheckClaimed" }
 
 // Kind names the effect and the event.
-func (*TrialBegan) Kind() string { return "trialBegan" }
+func (*RecheckBegan) Kind() string { return "recheckBegan" }
 
 // Kind names the effect and the event.
-func (*TrialReleased) Kind() string { return "trialReleased" }
+func (*RecheckReleased) Kind() string { return "recheckReleased" }
 
 // Query returns the ID of the request the event belongs to.
-func (e *TrialClaimed) Query() QueryID { return e.ID }
+func (e *RecheckClaimed) Query() QueryID { return e.ID }
 
 // Kind names the effect.
 func (*RecordCrashes) Kind() string { return "recordCrashes" }
@@ -153,11 +153,11 @@
 
 // Control implements ControlEvent: the effect is returned to the control partition as
 // an event.
-func (*TrialBegan) Control() {}
+func (*RecheckBegan) Control() {}
 
 // Control implements ControlEvent: the effect is returned to the control partition as
 // an event.
-func (*TrialReleased) Control() {}
+func (*RecheckReleased) Control() {}
 
 // Control implements ControlEvent.
 func (*CrashesRecorded) Control() {}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -54,7 +54,7 @@
 		*almondstep.GatherTimer, *almondstep.ItemFinished:
 		return reduceIn(r.Gathers, now, v, e, out)
 	case *almondstep.RequestArrived, *almondstep.RequesterGone, *almondstep.RequestTimer, *almondstep.CallEnded,
-		*almondstep.GatherEnded, *almondstep.RTTMeasured, *almondstep.QuotaDecided, *almondstep.TrialClaimed,
+		*almondstep.GatherEnded, *almondstep.RTTMeasured, *almondstep.QuotaDecided, *almondstep.RecheckClaimed,
 		*almondstep.ExplainRequest:
 		return reduceIn(r.Requests, now, v, e, out)
 	case almondstep.QueryEvent:
--- a/runner/effects_traffic.go
+++ b/runner/effects_traffic.go
@@ -82,12 +82,12 @@
 		r.control.push(f)
 	case *almondstep.RequestSurvived:
 		r.control.push(f)
-	case *almondstep.TrialBegan:
+	case *almondstep.RecheckBegan:
 		r.control.push(f)
-	case *almondstep.TrialReleased:
+	case *almondstep.RecheckReleased:
 		r.control.push(f)
-	case *almondstep.ClaimTrial:
-		r.background(func(ctx context.Context) { r.claimTrial(ctx, f) })
+	case *almondstep.ClaimRecheck:
+		r.background(func(ctx context.Context) { r.claimRecheck(ctx, f) })
 	case *almondstep.RolloutDecided:
 		r.control.push(f)
 	default:
--- a/runner/registry.go
+++ b/runner/registry.go
@@ -87,11 +87,11 @@
 	r.control.push(e)
 }
 
-func (r *Runner) claimTrial(ctx context.Context, f *almondstep.ClaimTrial) {
+func (r *Runner) claimRecheck(ctx context.Context, f *almondstep.ClaimRecheck) {
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
-	e := &almondstep.TrialClaimed{ID: f.ID, Record: f.Record}
-	if err := r.Registry.ClaimTrial(ctx, f.Record); err != nil {
+	e := &almondstep.RecheckClaimed{ID: f.ID, Record: f.Record}
+	if err := r.Registry.ClaimRecheck(ctx, f.Record); err != nil {
 		e.Err = err.Error()
 	}
 	r.deliver(e)
--- a/view.go
+++ b/view.go
@@ -14,7 +14,7 @@
 	owned               map[Address]OwnedUpstream
 	quarantined         map[Fingerprint]struct{}
 	crashes             map[Fingerprint]int
-	trials              map[Fingerprint]Trial
+	rechecks            map[Fingerprint]Recheck
 	peers               map[DaemonID]Address
 	stopping            bool
 	answerBy            Instant
@@ -144,9 +144,9 @@
 	Quarantined map[Fingerprint]struct{}
 	// Crashes is the number of upstreams that crashed under each suspect request.
 	Crashes map[Fingerprint]int
-	// Trials holds the next trials of quarantined requests that have one left.
-	Trials map[Fingerprint]Trial
-	Peers  map[DaemonID]Address
+	// Rechecks holds the next rechecks of quarantined requests that have one left.
+	Rechecks map[Fingerprint]Recheck
+	Peers    map[DaemonID]Address
 	// Stopping is set while the daemon shuts down; it then refuses new forwarded
 	// work.
 	Stopping bool
@@ -180,7 +180,7 @@
 		owned:               spec.Owned,
 		quarantined:         spec.Quarantined,
 		crashes:             spec.Crashes,
-		trials:              spec.Trials,
+		rechecks:            spec.Rechecks,
 		peers:               spec.Peers,
 		stopping:            spec.Stopping,
 		answerBy:            spec.AnswerBy,
@@ -254,9 +254,9 @@
 // must not change it.
 func (v *View) Suspects() map[Fingerprint]int { return v.crashes }
 
-// Trial returns the next trial of a quarantined request, and whether it has one left.
-func (v *View) Trial(f Fingerprint) (Trial, bool) {
-	t, ok := v.trials[f]
+// Recheck returns the next recheck of a quarantined request, and whether it has one left.
+func (v *View) Recheck(f Fingerprint) (Recheck, bool) {
+	t, ok := v.rechecks[f]
 	return t, ok
 }
 
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -293,7 +293,7 @@
 		Directory:           w.directory,
 		Quarantined:         w.crashes.quarantine.Requests(),
 		Crashes:             w.crashes.quarantine.Crashes(),
-		Trials:              w.trials(),
+		Rechecks:            w.rechecks(),
 		RegistryEra:         almondstep.EraOf(w.revision),
 		DirectoryFreshUntil: max(1, w.confirmedAt.Add(w.cfg.MaxAge)),
 	}
--- a/watcher/trials.go
+++ b/watcher/rechecks.go
@@ -8,23 +8,23 @@
 )
 
 const (
-	// maxTrials is the number of trials of a quarantined request: each may crash an upstream.
-	maxTrials = 3
-	// trialDelay is the time from the last crash, or trial, to the next trial of a request whose
-	// crashes may be those of an outage of its upstreams. It doubles with each trial.
-	trialDelay = 6 * time.Second
-	// unlikelyTrialDelay is that of a request under which upstreams crashed while others of the
+	// maxRechecks is the number of rechecks of a quarantined request: each may crash an upstream.
+	maxRechecks = 3
+	// recheckDelay is the time from the last crash, or recheck, to the next recheck of a request whose
+	// crashes may be those of an outage of its upstreams. It doubles with each recheck.
+	recheckDelay = 6 * time.Second
+	// unlikelyRecheckDelay is that of a request under which upstreams crashed while others of the
 	// same service ran on: they would have answered a request that isn't the cause.
-	unlikelyTrialDelay = time.Minute
+	unlikelyRecheckDelay = time.Minute
 	// outageSpan is the time within which the crashes of one outage are observed.
 	outageSpan = 4 * time.Second
 )
 
 // crashHistory is what the records of a quarantined request say together.
 type crashHistory struct {
-	runs   map[almondstep.UpstreamRun]bool
-	trials int
-	// lastAt is when this daemon learned of the last crash or trial, and lastCrashAt of the last
+	runs     map[almondstep.UpstreamRun]bool
+	rechecks int
+	// lastAt is when this daemon learned of the last crash or recheck, and lastCrashAt of the last
 	// crash.
 	lastAt      almondstep.Instant
 	lastCrashAt almondstep.Instant
@@ -32,38 +32,38 @@
 
 func (h *crashHistory) add(r almondstep.CrashRecord, at almondstep.Instant) {
 	h.lastAt = max(h.lastAt, at)
-	if r.IsTrial() {
-		h.trials++
+	if r.IsRecheck() {
+		h.rechecks++
 		return
 	}
 	h.lastCrashAt = max(h.lastCrashAt, at)
 	h.runs[r.Upstream] = true
 }
 
-// trials returns the next trials of the quarantined requests that have one left. A request that
+// rechecks returns the next rechecks of the quarantined requests that have one left. A request that
 // was in flight when all upstreams of its service were lost looks like one that crashes them, and
-// as long as it is refused no upstream can answer it: a trial shows which it is.
+// as long as it is refused no upstream can answer it: a recheck shows which it is.
 //
 // Example: three upstreams crash under a request, and the service has no others. 6 s later one
-// daemon sends it once. If it is answered, all daemons serve it again; if not, the next trial
+// daemon sends it once. If it is answered, all daemons serve it again; if not, the next recheck
 // begins 12 s later.
-func (w *Watcher) trials() map[almondstep.Fingerprint]almondstep.Trial {
+func (w *Watcher) rechecks() map[almondstep.Fingerprint]almondstep.Recheck {
 	histories := w.crashes.histories()
 	if len(histories) == 0 {
 		return nil
 	}
-	trials := make(map[almondstep.Fingerprint]almondstep.Trial, len(histories))
+	rechecks := make(map[almondstep.Fingerprint]almondstep.Recheck, len(histories))
 	for f, h := range histories {
-		if h.trials >= maxTrials {
+		if h.rechecks >= maxRechecks {
 			continue
 		}
-		delay := trialDelay
+		delay := recheckDelay
 		if w.othersRanOn(h) {
-			delay = unlikelyTrialDelay
+			delay = unlikelyRecheckDelay
 		}
-		trials[f] = almondstep.Trial{Number: h.trials + 1, At: h.lastAt.Add(delay << h.trials)}
+		rechecks[f] = almondstep.Recheck{Number: h.rechecks + 1, At: h.lastAt.Add(delay << h.rechecks)}
 	}
-	return trials
+	return rechecks
 }
 
 // histories returns the histories of the quarantined requests.
@@ -130,8 +130,8 @@
 	}
 }
 
-// trialBegan counts a trial of this daemon, whose record the registry has.
-func (w *Watcher) trialBegan(now almondstep.Instant, e *almondstep.TrialBegan, out []almondstep.Effect) []almondstep.Effect {
+// recheckBegan counts a recheck of this daemon, whose record the registry has.
+func (w *Watcher) recheckBegan(now almondstep.Instant, e *almondstep.RecheckBegan, out []almondstep.Effect) []almondstep.Effect {
 	l := &w.crashes
 	l.hold(now, e.Record)
 	l.quarantine.Add(now, e.Record.Fingerprint, e.Record.Upstream, almondstep.CrashEvidence{})
@@ -139,8 +139,8 @@
 	return w.publishAge(out)
 }
 
-// trialReleased removes the record of a trial that has reached no upstream.
-func (w *Watcher) trialReleased(now almondstep.Instant, e *almondstep.TrialReleased, out []almondstep.Effect) []almondstep.Effect {
+// recheckReleased removes the record of a recheck that has reached no upstream.
+func (w *Watcher) recheckReleased(now almondstep.Instant, e *almondstep.RecheckReleased, out []almondstep.Effect) []almondstep.Effect {
 	l := &w.crashes
 	l.quarantine.Remove(now, e.Record.Fingerprint, e.Record.Upstream)
 	l.remove(e.Record)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -157,10 +157,10 @@
 		return w.requestCrashed(now, e, out)
 	case *almondstep.RequestSurvived:
 		return w.requestSurvived(now, e, out)
-	case *almondstep.TrialBegan:
-		return w.trialBegan(now, e, out)
-	case *almondstep.TrialReleased:
-		return w.trialReleased(now, e, out)
+	case *almondstep.RecheckBegan:
+		return w.recheckBegan(now, e, out)
+	case *almondstep.RecheckReleased:
+		return w.recheckReleased(now, e, out)
 	case *almondstep.CrashesRecorded:
 		return w.crashesRecorded(now, e, out)
 	case *almondstep.RolloutDecided:
