--- a/forwarder/recheck.go
+++ b/forwarder/recheck.go
@@ -38,7 +38,7 @@
 // crashes upstreams: one is due, and an upstream is there that answers.
 func (f *Forwarder) wantsRecheck(now almondstep.Instant, r *request) bool {
 	next, ok := f.view.Recheck(r.fingerprint())
-	if !ok || now < next.At || now < f.rechecksAt[r.fingerprint()] || f.explains {
+	if !ok || now < next.At || now < f.rechecksAt[r.fingerprint()] || f.explains || r.asDelegate {
 		return false
 	}
 	return slices.ContainsFunc(r.services(), func(s almondstep.ServiceName) bool { return f.canTry(now, r, s) })
--- a/recorder/table.go
+++ b/recorder/table.go
@@ -114,8 +114,8 @@
 	return []Metric{
 		{
 			requestLimited, Counter, "shards", "route",
-			"Shards that weren't called because of the limits that their upstreams state.",
-			"Above 0: upstreams state fewer requests than come. The log says which (\"upstream states a limit\").",
+			"Shards that weren't called because of the limits that their upstreams state, or the pauses that they ask for.",
+			"Above 0: upstreams state fewer requests than come. The log says which (\"upstream states a limit\", \"upstream asks for a pause\").",
 		},
 		{
 			requestDelegated, Counter, "requests", "route",
