--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// abandon closes a connection whose call was canceled or timed out at an instant. If the connection was
-// reused and nothing was received on it for at least halfOpenAfter since the call began,
+// abandon closes a connection whose call was canceled or timed out at an instant. If the
+// connection was reused and nothing was received on it for at least halfOpenAfter since the call began,
 // the idle connections on which nothing was received since then are closed too: whatever
 // dropped the state of one connection has likely dropped that of the others.
 func (p *pool) abandon(cn *conn, at time.Time) {
--- a/forwarder/arrive.go
+++ b/forwarder/arrive.go
@@ -95,7 +95,7 @@
 		if reachable := f.reachable(now, r); !r.covers(reachable) {
 			delete(f.requests, r.id)
 			f.releaseAdmission(now, r)
-			return r.returnQuota(append(out, refuseUnsent(r, reachable)))
+			return f.endRecheck(r, r.returnQuota(append(out, refuseUnsent(r, reachable))))
 		}
 	}
 	r.trace.Missing = nil
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -120,8 +120,8 @@
 }
 
 // reportCrashes reports, at the end of a request, the upstreams that crashed under it if
-// none has answered it, now or shortly before, or that it is cleared. The part that a regional delegate answers
-// is judged by the daemon that sent it, which has the other parts.
+// none has answered it, now or shortly before, or that it is cleared. The part that a regional
+// delegate answers is judged by the daemon that sent it, which has the other parts.
 func (f *Forwarder) reportCrashes(r *request, out []almondstep.Effect) []almondstep.Effect {
 	switch {
 	case r.asDelegate && r.isPart():
--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -15,6 +15,9 @@
 // observePause begins the pause that an upstream asks for in a response, and logs it once. An odd
 // value is logged once for each run.
 func (f *Forwarder) observePause(now almondstep.Instant, request string, u *almondstep.Upstream, e *almondstep.CallEnded, out []almondstep.Effect) []almondstep.Effect {
+	if e.RetryAfter == 0 && e.OddRetryAfter == "" {
+		return out
+	}
 	run := f.listedRun(u)
 	isNew := e.RetryAfter > 0 && f.pauses.Wait(now, u.ID) == 0
 	if e.RetryAfter > 0 {
--- a/forwarder/recheck.go
+++ b/forwarder/recheck.go
@@ -125,9 +125,8 @@
 // the other shards are held until it is answered.
 func (f *Forwarder) sendRecheck(now almondstep.Instant, r *request, out *[]almondstep.Effect) {
 	for i := range r.shards {
-		if s := &r.shards[i]; r.trace.Calls > 0 {
-			s.held = true
-		} else if f.canTry(now, r, s.service) {
+		s := &r.shards[i]
+		if r.trace.Calls == 0 && f.canTry(now, r, s.service) {
 			f.sendFirst(now, r, i, out)
 		} else {
 			s.held = true
--- a/forwarder/recheck_test.go
+++ b/forwarder/recheck_test.go
@@ -87,6 +87,11 @@
 			w.decide(w.claims[0], "")
 			w.end(w.calls[0], almondstep.CallRefused, "")
 		}, 1},
+		"too few shards reachable": {func(w *harness) {
+			w.publish(func(u *almondstep.Upstream) bool { return u.Service == shardName(0) })
+			w.view = almondstep.NewView(almondstep.ViewSpec{Directory: w.view.Directory()})
+			w.decide(w.claims[0], "")
+		}, 1},
 		"the caller left": {func(w *harness) {
 			w.reduce(&almondstep.RequesterGone{ID: 1})
 			w.decide(w.claims[0], "")
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -132,11 +132,10 @@
 }
 
 // mayCall reports whether an upstream may be called now for a shard, apart from the limit on
-// calls to a cold one. An upstream that has said that it leaves gets no calls, and one that has asked
-// for a pause none until its end; no hedges are sent to its service for some time, which would fill
-// the others. A hedge never
-// goes to an upstream that states a limit, which leaves what such an upstream takes to the
-// calls that need it.
+// calls to a cold one. An upstream that has said that it leaves gets no calls, and one that has
+// asked for a pause none until its end; its service gets no hedges for some time, which would fill
+// the others. Nor does an upstream that states a limit, which leaves what it takes to the calls
+// that need it.
 func (f *Forwarder) mayCall(now almondstep.Instant, r *request, s *shard, u *almondstep.Upstream, kind budgeter.CallKind) bool {
 	return f.whyNotCalled(now, r, s, u, kind) == ""
 }
