Share the queue of the simulations in virtual time

Six packages' tests had a heap of events each. scheduler.Queue is one of them, generic over the type of the time; the order of events of the same time is as before.

--- a/allocator/faults_test.go
+++ b/allocator/faults_test.go
@@ -8,6 +8,7 @@
 
 	"almondstep"
 	"almondstep/allocator"
+	"almondstep/scheduler"
 )
 
 // While daemons are lost or a region is cut off, most requests below the limit are still served: the
@@ -64,7 +65,7 @@
 		}
 		ids := slices.Sorted(maps.Keys(m.reporters))
 		// The coordinator runs alone from here on; its lenders are simulated.
-		m.queue = nil
+		m.queue = scheduler.Queue[time.Duration]{}
 		leases, lost := map[almondstep.DaemonID]almondstep.QuotaLease{}, map[almondstep.DaemonID]int{}
 		for step := range 400 {
 			m.now += 40 * time.Millisecond
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -1,7 +1,6 @@
 package allocator_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"almondstep"
 	"almondstep/allocator"
+	"almondstep/scheduler"
 )
 
 // model runs the allocators of a fleet in virtual time, with a network that loses messages and
@@ -18,8 +18,7 @@
 	rng   *rand.Rand
 	cfg   allocator.Config
 	now   time.Duration
-	queue events
-	order int
+	queue scheduler.Queue[time.Duration]
 	nodes []*node
 	loss  float64
 	// members are the daemons that haven't left, changes counts those that have.
@@ -62,26 +61,6 @@
 	granted int
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // organisation returns an organisation with a limit.
 func organisation(t *testing.T, name string, rate, burst float64) *almondstep.Organisation {
 	t.Helper()
@@ -130,16 +109,14 @@
 }
 
 func (m *model) after(d time.Duration, run func()) {
-	m.order++
-	heap.Push(&m.queue, event{at: m.now + d, order: m.order, run: run})
+	m.queue.Add(m.now+d, run)
 }
 
 func (m *model) run(d time.Duration) {
 	until := m.now + d
-	for len(m.queue) > 0 && m.queue[0].at <= until {
-		e := heap.Pop(&m.queue).(event)
-		m.now = e.at
-		e.run()
+	for at, run, ok := m.queue.Next(until); ok; at, run, ok = m.queue.Next(until) {
+		m.now = at
+		run()
 	}
 	m.now = until
 }
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -1,21 +1,20 @@
 package controller_test
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"time"
 
 	"almondstep"
 	"almondstep/controller"
+	"almondstep/scheduler"
 )
 
 // fleet runs several Control reducers in virtual time and delivers each one's effects
 // to the others. It simulates the runner, the network and the platform.
 type fleet struct {
 	now     time.Duration
-	events  eventHeap
-	serial  int
+	events  scheduler.Queue[time.Duration]
 	random  uint64
 	nodes   map[almondstep.DaemonID]*node
 	ids     []almondstep.DaemonID
@@ -62,27 +61,6 @@
 	events      int
 }
 
-type event struct {
-	at     time.Duration
-	serial int
-	run    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].serial < h[j].serial
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 const configText = `{"schemes": ["plant"], "zones": [%s],
 "classes": [{"name": "urgent", "priority": 0, "hardDeadline": "50ms"}],
 "tenants": [{"name": "roastery", "share": 1, "maxOpen": 10}],
@@ -182,17 +160,15 @@
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
-	f.serial++
-	heap.Push(&f.events, event{at: f.now + d, serial: f.serial, run: run})
+	f.events.Add(f.now+d, run)
 }
 
 // runFor advances the virtual clock by d and runs the events due.
 func (f *fleet) runFor(d time.Duration) {
 	end := f.now + d
-	for len(f.events) > 0 && f.events[0].at <= end {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
-		e.run()
+	for at, run, ok := f.events.Next(end); ok; at, run, ok = f.events.Next(end) {
+		f.now = at
+		run()
 	}
 	f.now = end
 }
--- a/forwarder/sim_test.go
+++ b/forwarder/sim_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +9,7 @@
 
 	"almondstep"
 	"almondstep/forwarder"
+	"almondstep/scheduler"
 	"almondstep/watcher"
 )
 
@@ -38,8 +38,7 @@
 	t       *testing.T
 	rng     *rand.Rand
 	now     almondstep.Instant
-	queue   simQueue
-	serial  int
+	queue   scheduler.Queue[almondstep.Instant]
 	control *watcher.Watcher
 	view    *almondstep.View
 	nextID  almondstep.QueryID
@@ -85,26 +84,6 @@
 	work time.Duration
 }
 
-type simEvent struct {
-	at     almondstep.Instant
-	serial int
-	run    func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].serial < q[j].serial
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newSim(t *testing.T, seed uint64) *sim {
 	t.Helper()
 	s := &sim{
@@ -140,15 +119,13 @@
 
 // after runs a function after a time.
 func (s *sim) after(d time.Duration, run func()) {
-	s.serial++
-	heap.Push(&s.queue, simEvent{at: s.now.Add(max(0, d)), serial: s.serial, run: run})
+	s.queue.Add(s.now.Add(max(0, d)), run)
 }
 
 func (s *sim) run(until almondstep.Instant) {
-	for len(s.queue) > 0 && s.queue[0].at <= until {
-		e := heap.Pop(&s.queue).(simEvent)
-		s.now = e.at
-		e.run()
+	for at, run, ok := s.queue.Next(until); ok; at, run, ok = s.queue.Next(until) {
+		s.now = at
+		run()
 	}
 }
 
--- a/limiter/model_test.go
+++ b/limiter/model_test.go
@@ -1,11 +1,11 @@
 package limiter_test
 
 import (
-	"container/heap"
 	"math"
 	"time"
 
 	"almondstep"
+	"almondstep/scheduler"
 )
 
 // This file is a simulation in virtual time of daemons, with the real limiter or a
@@ -16,35 +16,11 @@
 	Reduce(now almondstep.Instant, v *almondstep.View, e almondstep.Event, out []almondstep.Effect) []almondstep.Effect
 }
 
-type scheduledEvent struct {
-	at  almondstep.Instant
-	seq int
-	do  func()
-}
-
-type eventQueue []scheduledEvent
-
-func (a eventQueue) Len() int { return len(a) }
-
-func (a eventQueue) Less(i, j int) bool {
-	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
-}
-func (a eventQueue) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *eventQueue) Push(x any)   { *a = append(*a, x.(scheduledEvent)) }
-
-func (a *eventQueue) Pop() any {
-	last := len(*a) - 1
-	o := (*a)[last]
-	*a = (*a)[:last]
-	return o
-}
-
 // model runs one server and the daemons that send to it.
 type model struct {
 	random  splitmix
 	now     almondstep.Instant
-	events  eventQueue
-	seq     int
+	events  scheduler.Queue[almondstep.Instant]
 	daemons []decider
 	view    *almondstep.View
 	server  server
@@ -112,15 +88,13 @@
 }
 
 func (m *model) after(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.events, scheduledEvent{at: m.now.Add(d), seq: m.seq, do: do})
+	m.events.Add(m.now.Add(d), do)
 }
 
 func (m *model) runUntil(end almondstep.Instant) {
-	for len(m.events) > 0 && m.events[0].at <= end {
-		o := heap.Pop(&m.events).(scheduledEvent)
-		m.now = o.at
-		o.do()
+	for at, do, ok := m.events.Next(end); ok; at, do, ok = m.events.Next(end) {
+		m.now = at
+		do()
 	}
 	m.now = end
 }
--- a/promoter/fleet_test.go
+++ b/promoter/fleet_test.go
@@ -1,7 +1,6 @@
 package promoter_test
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +8,7 @@
 	"almondstep"
 	"almondstep/forwarder"
 	"almondstep/promoter"
+	"almondstep/scheduler"
 	"almondstep/watcher"
 )
 
@@ -25,7 +25,7 @@
 	t        *testing.T
 	now      almondstep.Instant
 	random   almondstep.Random
-	queue    queue
+	queue    scheduler.Queue[almondstep.Instant]
 	daemons  []*daemon
 	revision uint64
 	era      uint64
@@ -63,31 +63,6 @@
 	apart bool
 }
 
-// event is a function that is called at an instant.
-type event struct {
-	at  almondstep.Instant
-	seq int
-	do  func()
-}
-
-type queue struct {
-	events []event
-	seq    int
-}
-
-func (q *queue) Len() int { return len(q.events) }
-func (q *queue) Less(i, j int) bool {
-	a, b := q.events[i], q.events[j]
-	return a.at < b.at || a.at == b.at && a.seq < b.seq
-}
-func (q *queue) Swap(i, j int) { q.events[i], q.events[j] = q.events[j], q.events[i] }
-func (q *queue) Push(x any)    { q.events = append(q.events, x.(event)) }
-func (q *queue) Pop() any {
-	last := q.events[len(q.events)-1]
-	q.events = q.events[:len(q.events)-1]
-	return last
-}
-
 func newFleet(t *testing.T, daemons int, seed uint64, slack float64, fresh outcome) *fleet {
 	t.Helper()
 	f := &fleet{
@@ -150,8 +125,7 @@
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
-	f.queue.seq++
-	heap.Push(&f.queue, event{at: f.now.Add(d), seq: f.queue.seq, do: do})
+	f.queue.Add(f.now.Add(d), do)
 }
 
 func (f *fleet) every(d time.Duration, do func()) {
@@ -161,10 +135,9 @@
 // run processes the events of the given time.
 func (f *fleet) run(d time.Duration) {
 	until := f.now.Add(d)
-	for f.queue.Len() > 0 && f.queue.events[0].at <= until {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
+	for at, do, ok := f.queue.Next(until); ok; at, do, ok = f.queue.Next(until) {
+		f.now = at
+		do()
 	}
 	f.now = until
 }
--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -1,7 +1,6 @@
 package watcher_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 
 	"almondstep"
 	"almondstep/patcher"
+	"almondstep/scheduler"
 	"almondstep/watcher"
 )
 
@@ -24,19 +24,19 @@
 
 // fleet simulates, in virtual time, daemons that read from each other and a registry.
 type fleet struct {
-	t      *testing.T
-	now    time.Duration
-	queue  eventQueue
-	serial int
-	nodes  map[almondstep.DaemonID]*node
-	ids    []almondstep.DaemonID
+	t     *testing.T
+	now   time.Duration
+	queue scheduler.Queue[time.Duration]
+	nodes map[almondstep.DaemonID]*node
+	ids   []almondstep.DaemonID
 
 	// revision, entries and log are the state of the registry; log has every write.
 	revision uint64
 	entries  map[string]almondstep.RegistryEntry
 	log      []almondstep.RegistryEntry
-	// watches has a function to end each pending watch of the registry.
-	watches map[int]func()
+	// watches has a function to end each pending watch of the registry, by a number that counts them.
+	watches   map[int]func()
+	lastWatch int
 	// calls counts the calls to the registry.
 	calls int
 	// fullReads counts the full reads among the calls.
@@ -63,29 +63,6 @@
 	calls   almondstep.CallID
 }
 
-// event is a function to be run at a virtual time; serial orders events of the same time.
-type event struct {
-	at     time.Duration
-	serial int
-	run    func()
-}
-
-// eventQueue is a heap of events, the earliest first.
-type eventQueue []event
-
-func (h eventQueue) Len() int { return len(h) }
-func (h eventQueue) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].serial < h[j].serial
-}
-func (h eventQueue) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventQueue) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventQueue) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // newFleet starts a number of daemons in one zone.
 func newFleet(t *testing.T, daemons int) *fleet {
 	t.Helper()
@@ -127,16 +104,14 @@
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
-	f.serial++
-	heap.Push(&f.queue, event{at: f.now + d, serial: f.serial, run: run})
+	f.queue.Add(f.now+d, run)
 }
 
 func (f *fleet) run(d time.Duration) {
 	end := f.now + d
-	for len(f.queue) > 0 && f.queue[0].at <= end {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.run()
+	for at, run, ok := f.queue.Next(end); ok; at, run, ok = f.queue.Next(end) {
+		f.now = at
+		run()
 	}
 	f.now = end
 }
@@ -223,8 +198,8 @@
 		answer()
 		return
 	}
-	f.serial++
-	id := f.serial
+	f.lastWatch++
+	id := f.lastWatch
 	f.watches[id] = answer
 	f.after(r.Wait, func() {
 		if end := f.watches[id]; end != nil {
