--- a/watcher/rechecks.go
+++ b/watcher/rechecks.go
@@ -12,7 +12,7 @@
 	maxRechecks = 3
 	// recheckDelay is the time from the last crash, or recheck, to the next recheck of a request whose
 	// crashes may be those of an outage of its upstreams. It doubles with each recheck.
-	recheckDelay = 6 * time.Second
+	recheckDelay = 8 * time.Second
 	// unlikelyRecheckDelay is that of a request under which upstreams crashed while others of the
 	// same service ran on: they would have answered a request that isn't the cause.
 	unlikelyRecheckDelay = time.Minute
@@ -44,9 +44,9 @@
 // was in flight when all upstreams of its service were lost looks like one that crashes them, and
 // as long as it is refused no upstream can answer it: a recheck shows which it is.
 //
-// Example: three upstreams crash under a request, and the service has no others. 6 s later one
+// Example: three upstreams crash under a request, and the service has no others. 8 s later one
 // daemon sends it once. If it is answered, all daemons serve it again; if not, the next recheck
-// begins 12 s later.
+// begins 16 s later.
 func (w *Watcher) rechecks() map[almondstep.Fingerprint]almondstep.Recheck {
 	histories := w.crashes.histories()
 	if len(histories) == 0 {
