--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -21,8 +21,7 @@
 	run := f.listedRun(u)
 	isNew := e.RetryAfter > 0 && f.pauses.Wait(now, u.ID) == 0
 	if e.RetryAfter > 0 {
-		f.pauses.Begin(now, u, run, e.RetryAfter)
-		f.gate.Pause(u.ID, now.Add(f.pauses.Wait(now, u.ID)))
+		f.gate.Pause(u.ID, f.pauses.Begin(now, u, run, e.RetryAfter))
 	}
 	cause := "for " + e.RetryAfter.Round(time.Millisecond).String() + ", in an answer to request " + request
 	if e.OddRetryAfter != "" && f.pauses.AddOdd(u.ID, run) {
--- a/forwarder/recent_answers.go
+++ b/forwarder/recent_answers.go
@@ -60,6 +60,5 @@
 
 // has reports whether an upstream has answered a request within answerMemory.
 func (a *recentAnswers) has(now almondstep.Instant, f almondstep.Fingerprint) bool {
-	at, known := a.answeredAt[f]
-	return known && now.Sub(at) <= answerMemory
+	return a.since(now.Add(-answerMemory), f)
 }
--- a/forwarder/status_check.go
+++ b/forwarder/status_check.go
@@ -54,8 +54,11 @@
 
 // checkStatus sends a status check to an upstream that a call of r goes to, if one is due.
 func (f *Forwarder) checkStatus(now almondstep.Instant, r *request, u *almondstep.Upstream, out *[]almondstep.Effect) {
+	if f.view.DirectoryFresh(now) {
+		return
+	}
 	service, _ := r.directory.Routes().Service(u.Service)
-	if service.ColdPerSecond <= 0 || service.HealthPath == "" || f.view.DirectoryFresh(now) || !f.checks.due(now, u.ID, r.directory.Daemons()) {
+	if service.ColdPerSecond <= 0 || service.HealthPath == "" || !f.checks.due(now, u.ID, r.directory.Daemons()) {
 		return
 	}
 	f.lastCall++
--- a/pauser/pauser.go
+++ b/pauser/pauser.go
@@ -67,9 +67,9 @@
 	returning int
 }
 
-// Begin records that a run of an upstream asks for a pause from now on. A pause that ends later
-// stays.
-func (p *Pauser) Begin(now almondstep.Instant, u *almondstep.Upstream, run almondstep.UpstreamRun, after time.Duration) {
+// Begin records that a run of an upstream asks for a pause from now on, and returns its end. A
+// pause that ends later stays.
+func (p *Pauser) Begin(now almondstep.Instant, u *almondstep.Upstream, run almondstep.UpstreamRun, after time.Duration) almondstep.Instant {
 	if p.upstreams == nil {
 		p.upstreams = make(map[almondstep.UpstreamID]*pause)
 		p.filling = make(map[almondstep.ServiceName]almondstep.Instant)
@@ -82,6 +82,7 @@
 	}
 	held.run, held.askedAt, held.allowed = run, now, 1
 	held.until = max(held.until, now.Add(after+p.Spread(after)))
+	return held.until
 }
 
 // Spread returns a random delay beyond a time, of up to a quarter of it.
