Hash each daemon once for its place in an order, and measure a call before it is broken off

The place of a daemon for a cold upstream was counted by comparing pairs, of which each hashed the key and both daemons again; no test said that this order is that of Order, one does now. The time of a call was kept by a zero value; Exchange measures it before the broken-off call lingers. No decision changes. Tests of exchanger and ranker (race) and the forwarder's on cold upstreams pass.

--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -104,36 +104,38 @@
 	c.init()
 	began := time.Now()
 	ended := &almondstep.CallEnded{ID: call.ID, Call: call.Call}
-	c.exchange(ctx, call, ended)
-	if ended.Took == 0 {
-		ended.Took = time.Since(began)
+	breakOff := c.exchange(ctx, call, ended)
+	ended.Took = time.Since(began)
+	if breakOff != nil {
+		breakOff()
 	}
 	return ended
 }
 
-func (c *Client) exchange(ctx context.Context, call *almondstep.SendCall, ended *almondstep.CallEnded) {
-	began := time.Now()
-	p := c.pool(call, began)
+// exchange sends a call and waits until it has ended, or is to be broken off by the function that it
+// returns.
+func (c *Client) exchange(ctx context.Context, call *almondstep.SendCall, ended *almondstep.CallEnded) (breakOff func()) {
+	p := c.pool(call, time.Now())
 	cn, err := p.get(ctx, call)
 	if err != nil {
 		// No connection was available in time, so nothing was sent.
 		ended.Result = almondstep.CallRefused
-		return
+		return nil
 	}
 	done := cn.begin(call.Request.Method, c.maxBodyBytes(call))
 	if n, err := cn.send(ctx, encodeRequest(call, c.HeaderCodec.RequestHeader(call, remainingUsefulFor(ctx, call)))); err != nil {
 		p.drop(cn)
 		ended.Result = failureResult(ctx, n > 0)
 		ended.Disconnected = n > 0 && endedByPeer(err)
-		return
+		return nil
 	}
 	select {
 	case got := <-done:
 		c.handleReceived(p, cn, call, got, ended)
+		return nil
 	case <-ctx.Done():
 		ended.Result = failureResult(ctx, true)
-		ended.Took = time.Since(began)
-		c.breakOff(p, cn, call, done, ended)
+		return func() { c.breakOff(p, cn, call, done, ended) }
 	}
 }
 
--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"slices"
+
 	"almondstep"
 	"almondstep/ranker"
 )
@@ -22,15 +24,17 @@
 // isFirstOf reports whether this daemon is among the first n in the order of all daemons for an
 // upstream, which is the same at each of them.
 func (f *Forwarder) isFirstOf(r *request, n int, u almondstep.UpstreamID) bool {
-	self, before := f.view.Self(), 0
-	listed := false
-	for _, m := range r.directory.Members() {
-		switch {
-		case m.ID == self:
-			listed = true
-		case ranker.Before(string(u), m.ID, self):
-			before++
+	self, members := f.view.Self(), r.directory.Members()
+	isSelf := func(m almondstep.Member) bool { return m.ID == self }
+	if r.directory.Unlisted() || !slices.ContainsFunc(members, isSelf) {
+		return false
+	}
+	ids := func(yield func(almondstep.DaemonID) bool) {
+		for _, m := range members {
+			if !yield(m.ID) {
+				return
+			}
 		}
 	}
-	return listed && !r.directory.Unlisted() && before < n
+	return ranker.Place(string(u), self, ids) < n
 }
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"almondstep"
@@ -77,14 +78,18 @@
 	return r.ids[best]
 }
 
-// Before reports whether daemon a comes before daemon b in the order for a key, which has the
-// daemons that Order lists in the same order.
-func Before(key string, a, b almondstep.DaemonID) bool {
-	r := Ranker{ids: []almondstep.DaemonID{a, b}, hashes: []uint64{Hash(string(a)), Hash(string(b))}}
-	if r.hashes[0] == r.hashes[1] {
-		return a < b
+// Place returns how many of the daemons among, given in any order, come before id in the order for a
+// key, which is that of Order.
+func Place(key string, id almondstep.DaemonID, among iter.Seq[almondstep.DaemonID]) int {
+	h := Hash(key)
+	own := score(h, Hash(string(id)))
+	place := 0
+	for other := range among {
+		if c := cmp.Compare(score(h, Hash(string(other))), own); c > 0 || c == 0 && other < id {
+			place++
+		}
 	}
-	return r.compare(Hash(key), 0, 1) < 0
+	return place
 }
 
 // compare is negative if daemon a comes before daemon b for the key's hash.
--- a/ranker/ranker_test.go
+++ b/ranker/ranker_test.go
@@ -76,3 +76,15 @@
 		r.First("10.0.0.9:80", accept)
 	}
 }
+
+// The place of a daemon is its index in the order, in whatever order the daemons are given.
+func TestPlaceIsIndexInOrder(t *testing.T) {
+	all := ids(30)
+	for _, key := range []string{"i-1", "i-2", ""} {
+		for want, id := range ranker.New(all).Order(key) {
+			if got := ranker.Place(key, id, slices.Values(all)); got != want {
+				t.Errorf("key %q, daemon %s: got place %d, want %d", key, id, got, want)
+			}
+		}
+	}
+}
