--- a/forwarder/cold_seeds_test.go
+++ b/forwarder/cold_seeds_test.go
@@ -29,8 +29,6 @@
 type coldSim struct {
 	*sim
 	spans []*coldSpan
-	// refusedLate counts the requests that were refused later than at once.
-	refusedLate int
 }
 
 func newColdSim(t *testing.T, seed uint64) *coldSim {
@@ -83,14 +81,7 @@
 // order sends a request to a daemon, and observes when it is refused.
 func (s *coldSim) order() {
 	at := s.now
-	s.request(s.anyDaemon(), "POST", fmt.Sprint("/order/", s.nextID), func(r *almondstep.Reply) {
-		switch {
-		case r.Outcome == almondstep.OutcomeComplete:
-			s.served++
-		case r.Outcome == almondstep.OutcomeNotRun && s.now.Sub(at) > 50*time.Millisecond:
-			s.refusedLate++
-		}
-	})
+	s.request(s.anyDaemon(), "POST", fmt.Sprint("/order/", s.nextID), func(r *almondstep.Reply) { s.observe(at, r) })
 }
 
 // restart replaces a daemon's process by one that knows nothing of before.
--- a/forwarder/outage_seeds_test.go
+++ b/forwarder/outage_seeds_test.go
@@ -52,9 +52,7 @@
 			for at := time.Duration(0); at < outageSimTime; at += 5 * time.Millisecond {
 				s.after(at, func() { s.attempt(s.popularTarget(outageAt.Add(-10*time.Millisecond)), s.rng.IntN(simDaemons), 1) })
 			}
-			for at := time.Second; at < outageSimTime; at += time.Second {
-				s.after(at, func() { s.reduceControl(&almondstep.ControlTick{}) })
-			}
+			s.tickFor(outageSimTime)
 			if seed%4 >= 2 {
 				for at := 20 * time.Second; at < outageSimTime; at += 400 * time.Millisecond {
 					s.after(at, func() { s.attempt(crashPath, s.rng.IntN(simDaemons), 1) })
@@ -97,9 +95,7 @@
 			for at := time.Duration(0); at < crashTime; at += 4 * time.Millisecond {
 				s.after(at, func() { s.attempt(s.target(), s.rng.IntN(simDaemons), 3) })
 			}
-			for at := time.Second; at < crashTime; at += time.Second {
-				s.after(at, func() { s.reduceControl(&almondstep.ControlTick{}) })
-			}
+			s.tickFor(crashTime)
 			for at := 10 * time.Second; at < crashTime; at += time.Second {
 				s.after(at, func() { s.attempt(crashPath, s.rng.IntN(simDaemons), 1) })
 			}
--- a/forwarder/pause_seeds_test.go
+++ b/forwarder/pause_seeds_test.go
@@ -28,9 +28,8 @@
 	freeAt  map[*simServer]*[busySlots]almondstep.Instant
 	arrived map[pausePair][]almondstep.Instant
 	asked   map[pausePair][]askedPause
-	// refusedLate counts the requests that were refused later than at once, and oddRetry those that
-	// were refused for a time that isn't the rest of a pause.
-	refusedLate, oddRetry int
+	// oddRetry counts the requests that were refused for a time that isn't the rest of a pause.
+	oddRetry int
 }
 
 type pausePair struct {
@@ -95,12 +94,8 @@
 func (s *pauseSim) ask() {
 	at := s.now
 	s.request(s.anyDaemon(), "GET", fmt.Sprint("/one/", s.nextID), func(r *almondstep.Reply) {
-		switch {
-		case r.Outcome == almondstep.OutcomeComplete:
-			s.served++
-		case r.Outcome == almondstep.OutcomeNotRun && s.now.Sub(at) > 50*time.Millisecond:
-			s.refusedLate++
-		case r.Code == almondstep.CodeLimited && (r.RetryAfter < 50*time.Millisecond || r.RetryAfter > 6*time.Second):
+		s.observe(at, r)
+		if r.Code == almondstep.CodeLimited && (r.RetryAfter < 50*time.Millisecond || r.RetryAfter > 6*time.Second) {
 			s.oddRetry++
 		}
 	})
--- a/forwarder/silence_seeds_test.go
+++ b/forwarder/silence_seeds_test.go
@@ -104,9 +104,7 @@
 			for at := time.Duration(0); at < simTime; at += 10 * time.Millisecond {
 				s.after(at, func() { s.attempt(s.target(), s.rng.IntN(simDaemons), 3) })
 			}
-			for at := time.Second; at < simTime; at += time.Second {
-				s.after(at, func() { s.reduceControl(&almondstep.ControlTick{}) })
-			}
+			s.tickFor(simTime)
 			faults := seed%3 != 0
 			for range 5 {
 				if faults {
--- a/forwarder/sim_test.go
+++ b/forwarder/sim_test.go
@@ -50,6 +50,8 @@
 	// crashed.
 	crashes []almondstep.Instant
 	served  int
+	// refusedLate counts the requests that observe has found refused later than at once.
+	refusedLate int
 	// refused has the times at which sound requests were refused as those that crash servers;
 	// such a refusal is a failure if none may be refused at all.
 	refused    []almondstep.Instant
@@ -212,6 +214,24 @@
 	return id
 }
 
+// tickFor lets the control thread tick each second for a time.
+func (s *sim) tickFor(d time.Duration) {
+	for at := time.Second; at < d; at += time.Second {
+		s.after(at, func() { s.reduceControl(&almondstep.ControlTick{}) })
+	}
+}
+
+// observe counts a reply to a request that was sent at an instant.
+func (s *sim) observe(at almondstep.Instant, r *almondstep.Reply) {
+	const atOnce = 50 * time.Millisecond
+	switch {
+	case r.Outcome == almondstep.OutcomeComplete:
+		s.served++
+	case r.Outcome == almondstep.OutcomeNotRun && s.now.Sub(at) > atOnce:
+		s.refusedLate++
+	}
+}
+
 // anyDaemon returns a random daemon.
 func (s *sim) anyDaemon() *simDaemon { return s.daemons[s.rng.IntN(len(s.daemons))] }
 
