Review case 12: servers that left get work beside a machine cut from the store

Cause: a daemon passes on the failure of its own way to the registry as an outage of the registry; daemons that never had one keep removed servers for the time that is meant for lapsed leases.

--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,9 +76,13 @@
 	c.statuses[d.name+": "+status]++
 }
 
+// end stops the clients and writes how their requests were answered.
 func (c *clients) end() {
 	close(c.stop)
 	c.wg.Wait()
+	for _, name := range slices.Sorted(maps.Keys(c.statuses)) {
+		c.rig.note("answers of %s: %d", name, c.statuses[name])
+	}
 }
 
 // of returns when and where a request was sent.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -34,7 +34,7 @@
 }
 
 func run(number int, entry, record string, trouble bool) int {
-	cases := map[int]play{11: staleOutage}
+	cases := map[int]play{11: staleOutage, 12: turnedAway}
 	p, ok := cases[number]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", number)
--- a/review/rig3/proxy.go
+++ b/review/rig3/proxy.go
@@ -14,8 +14,29 @@
 	listener net.Listener
 	sent     atomic.Int64
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	refuses bool
+}
+
+// refuse resets the machine's connections to the store, and each new one, until it is called with false.
+func (p *proxy) refuse(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuses = on
+	for c := range p.conns {
+		if on {
+			reset(c)
+		}
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -47,8 +68,16 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[c], p.conns[to] = true, true
+	refuses := p.refuses
+	if !refuses {
+		p.conns[c], p.conns[to] = true, true
+	}
 	p.mu.Unlock()
+	if refuses {
+		_ = to.Close()
+		reset(c)
+		return
+	}
 	go p.pipe(to, c, &p.sent)
 	p.pipe(c, to, nil)
 }
--- a/review/rig3/stale_outage.go
+++ b/review/rig3/stale_outage.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net/http"
 	"slices"
 	"syscall"
@@ -27,31 +26,10 @@
 // them those that read the store, just as some servers leave. The others must send these servers
 // nothing later than the drain bound.
 func staleOutage(r *rig, trouble bool) (bool, error) {
-	var shards []string
-	var second []*server
-	for i := range shardCount {
-		service := fmt.Sprintf("shard%02d", i)
-		shards = append(shards, service)
-		for n, zone := range []string{"jhb-north", "cpt-central"} {
-			s, err := r.addServer(fmt.Sprintf("i-%02d-%d", i, n), service, zone)
-			if err != nil {
-				return false, err
-			}
-			if n == 1 {
-				second = append(second, s)
-			}
-		}
-	}
-	if err := r.configure(7, shards); err != nil {
+	second, c, err := r.search()
+	if err != nil {
 		return false, err
 	}
-	if err := r.addDaemons("jhb-north", "jhb-north", "cpt-central", "cpt-central", "dbn-coast", "dbn-coast"); err != nil {
-		return false, err
-	}
-	c := r.newClients()
-	for _, d := range r.daemons {
-		c.run(d, "/search/", time.Second, 40*time.Millisecond)
-	}
 	time.Sleep(4 * time.Second)
 	if trouble {
 		r.note("the store is down: it answers 503")
@@ -89,13 +67,40 @@
 	}
 	time.Sleep(drainBound + 2*time.Second)
 	c.end()
-	for _, name := range slices.Sorted(maps.Keys(c.statuses)) {
-		r.note("answers of %s: %d", name, c.statuses[name])
-	}
 	calm := func(d *daemon) bool { return !trouble || !slices.Contains(lost, d) }
 	return r.judgeDrain(c, left, calm), nil
 }
 
+// search starts six daemons, and twenty shards with two servers each, and clients that search at all
+// daemons. It returns the second server of each shard.
+func (r *rig) search() (second []*server, c *clients, err error) {
+	var shards []string
+	for i := range shardCount {
+		service := fmt.Sprintf("shard%02d", i)
+		shards = append(shards, service)
+		for n, zone := range []string{"jhb-north", "cpt-central"} {
+			s, err := r.addServer(fmt.Sprintf("i-%02d-%d", i, n), service, zone)
+			if err != nil {
+				return nil, nil, err
+			}
+			if n == 1 {
+				second = append(second, s)
+			}
+		}
+	}
+	if err := r.configure(7, shards); err != nil {
+		return nil, nil, err
+	}
+	if err := r.addDaemons("jhb-north", "jhb-north", "cpt-central", "cpt-central", "dbn-coast", "dbn-coast"); err != nil {
+		return nil, nil, err
+	}
+	c = r.newClients()
+	for _, d := range r.daemons {
+		c.run(d, "/search/", time.Second, 40*time.Millisecond)
+	}
+	return second, c, nil
+}
+
 // readers lists the daemons that have read from the store in the last second.
 func (r *rig) readers() []*daemon {
 	before := make(map[*daemon]int64)
