Review cases 11 and 12: count only what undisturbed daemons send themselves

Cause: a daemon may have another one call the shards of another region, so the daemon that took a request isn't always the one that sent it to the server. Change: a proxy before each server that leaves finds the daemon that owns the connection.

--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"text/template"
 	"time"
@@ -167,6 +168,8 @@
 	log      *os.File
 	proxy    *proxy
 
+	pid atomic.Int64
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
@@ -249,7 +252,11 @@
 	d.cmd = exec.Command(d.rig.entry)
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), d.rig.names.SettingsVariable + "=" + d.settings}
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
-	return d.cmd.Start()
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	d.pid.Store(int64(d.cmd.Process.Pid))
+	return nil
 }
 
 func (d *daemon) signal(s syscall.Signal) {
--- a/review/rig3/servers.go
+++ b/review/rig3/servers.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	seq   int
 	state string
 	ended bool
+	// front is the address of the entry if the server is watched; arrivals has what came there.
+	front    net.Listener
+	arrivals []arrival
 }
 
 // The states in an entry; stateNone means that there is none.
@@ -83,6 +87,9 @@
 	s.seq++
 	entry := s.Entry(s.zone, s.state)
 	entry["seq"] = s.seq
+	if s.front != nil {
+		entry["address"] = s.front.Addr().String()
+	}
 	text, err := json.Marshal(entry)
 	if err != nil {
 		panic(err)
@@ -105,5 +112,8 @@
 	s.mu.Lock()
 	s.ended = true
 	s.mu.Unlock()
+	if s.front != nil {
+		_ = s.front.Close()
+	}
 	s.Crash()
 }
--- a/review/rig3/stale_outage.go
+++ b/review/rig3/stale_outage.go
@@ -88,6 +88,11 @@
 			}
 		}
 	}
+	for _, s := range second[:leaving] {
+		if err := s.watch(); err != nil {
+			return nil, nil, err
+		}
+	}
 	if err := r.configure(7, shards); err != nil {
 		return nil, nil, err
 	}
@@ -119,22 +124,25 @@
 	return list
 }
 
-// judgeDrain reports whether a request reached a server that leaves later than the bound, sent by a
-// client and by a daemon without disruption.
+// judgeDrain reports whether a request reached a server that leaves later than the bound, sent later than
+// that by a client, taken from it and sent on by daemons without disruption.
 func (r *rig) judgeDrain(c *clients, left map[*server]time.Time, calm func(*daemon) bool) bool {
 	broken := 0
 	for s, at := range left {
-		for _, run := range s.Runs() {
-			from := c.of(run.Request)
-			if from == nil || run.At.Sub(at) <= 0 {
+		s.mu.Lock()
+		arrivals := slices.Clone(s.arrivals)
+		s.mu.Unlock()
+		for _, a := range arrivals {
+			taken := c.of(a.request)
+			if taken == nil || a.from == nil || a.at.Before(at) {
 				continue
 			}
-			late := run.At.Sub(at) > drainBound && from.at.Sub(at) > drainBound && calm(from.daemon)
+			late := a.at.Sub(at) > drainBound && taken.at.Sub(at) > drainBound && calm(taken.daemon) && calm(a.from)
 			if late {
 				broken++
 			}
-			r.note("request %s, sent to %s %.3f s after %s had left, ran there %.3f s after it; late: %v", run.Request, from.daemon.name,
-				from.at.Sub(at).Seconds(), s.ID, run.At.Sub(at).Seconds(), late)
+			r.note("request %s, sent to %s %.3f s after %s had left, reached it from %s %.3f s after that; late: %v", a.request,
+				taken.daemon.name, taken.at.Sub(at).Seconds(), s.ID, a.from.name, a.at.Sub(at).Seconds(), late)
 		}
 	}
 	r.note("%d requests reached servers later than %s after these had left", broken, drainBound)
