Review case 13: a server that is cold again while the store is down gets its full rate

Cause: while the registry doesn't answer, each daemon checks a server once a second at most, and calls it as a warm one until then.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -34,7 +34,7 @@
 }
 
 func run(number int, entry, record string, trouble bool) int {
-	cases := map[int]play{11: staleOutage, 12: turnedAway}
+	cases := map[int]play{11: staleOutage, 12: turnedAway, 13: coldAgain}
 	p, ok := cases[number]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", number)
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -32,6 +32,7 @@
 	ServerPrefix     string
 	RequestID        string
 	Deadline         string
+	ColdLeft         string
 }
 
 // rig is a small installation: a store, servers and daemons.
@@ -91,6 +92,9 @@
 	fmt.Fprintf(r.record, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// ledgerColdRate is the rate that a cold server of the service without shards tolerates, in requests a second.
+const ledgerColdRate = 5
+
 // fill returns a template of this folder, filled in.
 func fill(name string, data any) ([]byte, error) {
 	t, err := template.ParseFS(files, name)
@@ -112,8 +116,9 @@
 		}
 		services.Write(text)
 	}
+	list := `"` + strings.Join(shards, `","`) + `"`
 	text, err := fill("config.tmpl", map[string]any{
-		"Version": version, "Shards": `"` + strings.Join(shards, `","`) + `"`, "Services": services.String(),
+		"Version": version, "ColdPerSecond": ledgerColdRate, "Shards": list, "Services": services.String(),
 	})
 	if err != nil {
 		return err
--- a/review/rig3/servers.go
+++ b/review/rig3/servers.go
@@ -87,6 +87,9 @@
 	s.seq++
 	entry := s.Entry(s.zone, s.state)
 	entry["seq"] = s.seq
+	if until := s.ColdUntil.Load(); until != nil {
+		entry[s.rig.names.ColdLeft] = max(0, time.Until(*until).Milliseconds())
+	}
 	if s.front != nil {
 		entry["address"] = s.front.Addr().String()
 	}
